Serve the whole path, thin, in separate processes

Cause: nothing existed; everything that follows needs a path on real processes and sockets to grow on.

Ruled out: a data daemon beside a control daemon, since a bare Node.js process takes more memory than the control may.

Before: nothing. After: `npm run demo` starts the platform, four engines, a service and three routers as processes, applies the Pedra Macia configuration, streams a summary, answers an enquiry, runs an order sent through two routers once, and stops every router with exit code 0.

Conclusion: the frame stands. State shared by the fleet is not there yet: membership, admission and scheduling are local to each router behind the interfaces that their shells will keep.

--- /dev/null
+++ b/packages/command/src/check.ts
@@ -0,0 +1,27 @@
+import * as configuration from "@citronlead/configuration";
+import type * as commander from "commander";
+import * as terminals from "./terminal.js";
+
+/** Adds `citronlead check`. */
+export function addCheckVerb(program: commander.Command, terminal: terminals.Terminal): void {
+    program.command("check")
+        .description("Check a file without changing anything.")
+        .argument("<file>", "YAML file")
+        .option("--settings", "the file holds the settings of a router process")
+        .option("--json", "print JSON")
+        .action((file: string, options: { settings?: true; json?: true; }) => check(terminal, file, options));
+}
+
+async function check(
+    terminal: terminals.Terminal,
+    file: string,
+    options: { settings?: true; json?: true; },
+): Promise<void> {
+    const parse: (file: string, text: string) => configuration.Checked<unknown> = options.settings
+        ? configuration.parseRouterSettings
+        : configuration.parseFleet;
+    const checked = await terminals.readChecked(terminal, file, parse);
+    if (checked) {
+        terminals.printData(terminal, options.json === true, { file, valid: true }, () => [`${file}: valid`]);
+    }
+}
--- /dev/null
+++ b/packages/configuration/test/fleet.test.ts
@@ -0,0 +1,55 @@
+import * as chai from "chai";
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as configuration from "../src/index.js";
+
+const EXAMPLES = path.resolve(import.meta.dirname, "../../../../examples");
+
+function problems(change: (text: string) => string): string[] {
+    const text = change(fs.readFileSync(path.join(EXAMPLES, "pedra-macia.yaml"), "utf8"));
+    const checked = configuration.parseFleet("fleet.yaml", text);
+    return checked.valid ? [] : checked.problems.map(configuration.describeProblem);
+}
+
+describe("a fleet's configuration", () => {
+    for (const name of ["pedra-macia.yaml", "ponceurs-armor.yaml"]) {
+        it(`takes ${name}`, () => {
+            const checked = configuration.parseFleet(name, fs.readFileSync(path.join(EXAMPLES, name), "utf8"));
+            chai.expect(checked.valid ? [] : checked.problems).to.deep.equal([]);
+        });
+    }
+
+    it("refuses an unknown key at its place", () => {
+        chai.expect(problems((text) => text.replace("region:", "regoin: x\nregion:")))
+            .to.deep.equal(["fleet.yaml:3:1: regoin: unknown key"]);
+    });
+
+    it("refuses a wrong unit at its place", () => {
+        const found = problems((text) => text.replace("zoneDelay: 0.5ms", "zoneDelay: 0.5 minutes"));
+        chai.expect(found).to.have.length(1);
+        chai.expect(found[0]).to.match(/^fleet\.yaml:5:1: zoneDelay: expected a number with a unit/);
+    });
+
+    it("refuses a burst below the smallest charge", () => {
+        const found = problems((text) => text.replace("burstTokens: 240000", "burstTokens: 8"));
+        chai.expect(found).to.have.length(1);
+        chai.expect(found[0]).to.contain("the burst is below the smallest charge of a model, 16 tokens");
+    });
+
+    it("refuses a target below the network's delay", () => {
+        const found = problems((text) => text.replace("firstTokenTarget: 500ms", "firstTokenTarget: 2ms"));
+        chai.expect(found).to.have.length(1);
+        chai.expect(found[0]).to.contain("the target is below the network's round trip of 3 ms");
+    });
+
+    it("refuses a workspace whose rate stands twice", () => {
+        const found = problems((text) =>
+            text.replace(
+                "deadline: 10s",
+                "deadline: 10s\n    workspaces:\n      guild: { tokensPerSecond: 1, burstTokens: 99 }",
+            )
+        );
+        chai.expect(found).to.have.length(1);
+        chai.expect(found[0]).to.contain("the rate of this workspace stands in profile assessments already");
+    });
+});
--- /dev/null
+++ b/packages/lifecycle/test/lifecycle.test.ts
@@ -0,0 +1,40 @@
+import * as chai from "chai";
+import * as lifecycle from "../src/index.js";
+
+describe("Lifecycle", () => {
+    it("releases in the reverse of the order of taking", async () => {
+        const scope = new lifecycle.Lifecycle("test");
+        const released: number[] = [];
+        scope.own(() => void released.push(1));
+        scope.child("inner").own(() => void released.push(2));
+        scope.own(() => void released.push(3));
+        await scope.close();
+        chai.expect(released).to.deep.equal([3, 2, 1]);
+    });
+
+    it("releases at once what is taken after the close", async () => {
+        const scope = new lifecycle.Lifecycle("test");
+        await scope.close();
+        let released = false;
+        await scope.own(() => {
+            released = true;
+        })();
+        chai.expect(released).to.equal(true);
+    });
+
+    it("releases everything although one release fails", async () => {
+        const scope = new lifecycle.Lifecycle("test");
+        let released = false;
+        scope.own(() => {
+            released = true;
+        });
+        scope.own(() => {
+            throw new Error("broken");
+        });
+        let failed = false;
+        await scope.close().catch(() => {
+            failed = true;
+        });
+        chai.expect([failed, released]).to.deep.equal([true, true]);
+    });
+});
--- /dev/null
+++ b/packages/router/src/parts.ts
@@ -0,0 +1,18 @@
+import type * as admissions from "./admissionshell.js";
+import type * as configurations from "./configurationshell.js";
+import type * as contexts from "./context.js";
+import type * as memberships from "./membershipshell.js";
+import type * as operations from "./operationsshell.js";
+import type * as schedulings from "./schedulingshell.js";
+import type * as upstreams from "./upstreams.js";
+
+/** The parts of a running router that serve requests. */
+export interface Parts {
+    readonly context: contexts.Context;
+    readonly configuration: configurations.ConfigurationInForce;
+    readonly membership: memberships.Membership;
+    readonly admission: admissions.Admission;
+    readonly scheduling: schedulings.Scheduling;
+    readonly operations: operations.Operations;
+    readonly upstreams: upstreams.Upstreams;
+}
--- /dev/null
+++ b/packages/router/src/router.ts
@@ -0,0 +1,89 @@
+import type * as configuration from "@citronlead/configuration";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as platform from "@citronlead/platform";
+import * as crypto from "node:crypto";
+import * as http from "node:http";
+import * as admissions from "./admissionshell.js";
+import * as callers from "./callers.js";
+import * as configurations from "./configurationshell.js";
+import type * as contexts from "./context.js";
+import * as control from "./control.js";
+import * as logs from "./log.js";
+import * as memberships from "./membershipshell.js";
+import * as metrics from "./metrics.js";
+import * as operations from "./operationsshell.js";
+import type * as parts from "./parts.js";
+import * as peers from "./peers.js";
+import * as schedulings from "./schedulingshell.js";
+import * as traces from "./trace.js";
+import * as upstreams from "./upstreams.js";
+
+/** A router that runs. */
+export interface Router {
+    /** Stops gracefully: reports not ready, waits for requests under way, hands over what it owns, releases all. */
+    readonly stop: () => Promise<void>;
+}
+
+const TRACE_LIMIT = 2_000;
+
+/** Starts a router with checked settings. */
+export async function startRouter(settings: configuration.RouterSettings): Promise<Router> {
+    const context = makeContext(settings);
+    const served = await startParts(context);
+    let stopping = false;
+    const open = await callers.openCallers(served);
+    await control.openControl(served, {
+        ready: () => !stopping && served.configuration.current() !== undefined,
+        openRequests: open.open,
+    });
+    context.log.info({ callers: settings.callers, peers: settings.peers, control: settings.control }, "started");
+    let stopped: Promise<void> | undefined;
+    const stop = async () => {
+        stopping = true;
+        context.log.info("stopping");
+        await lifecycle.pause(context.scope, settings.stop.noticePeriod);
+        await open.drain(settings.stop.drainPeriod);
+        await served.membership.handOver();
+        await context.scope.close();
+        context.log.info("stopped");
+    };
+    return { stop: () => stopped ??= stop() };
+}
+
+function makeContext(settings: configuration.RouterSettings): contexts.Context {
+    const scope = new lifecycle.Lifecycle("router");
+    const incarnation = crypto.randomUUID();
+    const agent = new http.Agent({ keepAlive: true });
+    scope.own(() => agent.destroy());
+    return {
+        settings,
+        incarnation,
+        scope,
+        agent,
+        clock: lifecycle.monotonicClock,
+        log: logs.makeLog(settings, incarnation),
+        metrics: metrics.makeMetrics(),
+        traces: traces.makeTraces(settings.host, TRACE_LIMIT, lifecycle.monotonicClock),
+        keyValue: platform.connectKeyValue({
+            addresses: settings.platform.keyValue,
+            timeoutMs: settings.platform.timeout,
+            agent,
+        }),
+    };
+}
+
+async function startParts(context: contexts.Context): Promise<parts.Parts> {
+    const links = await peers.openPeers(context);
+    const membership = memberships.startMembership(context, links);
+    const inForce = configurations.followConfiguration(context, membership, links);
+    const known = upstreams.followUpstreams(context);
+    return {
+        context,
+        membership,
+        configuration: inForce,
+        upstreams: known,
+        admission: admissions.startAdmission(context, inForce, membership, links),
+        scheduling: schedulings.startScheduling(context, inForce, membership, known, links),
+        operations: operations.startOperations(context),
+    };
+}
--- /dev/null
+++ b/packages/upstream/test/assembly.test.ts
@@ -0,0 +1,55 @@
+import * as chai from "chai";
+import * as fastCheck from "fast-check";
+import * as upstream from "../src/index.js";
+
+function token(index: number): upstream.Piece {
+    return { kind: upstream.PieceKind.Token, index, text: `${index} ` };
+}
+
+function end(outputTokens: number): upstream.Piece {
+    return { kind: upstream.PieceKind.End, outputTokens, reason: upstream.FinishReason.Stop };
+}
+
+/** Feeds pieces until a hole is met or the answer is whole, as the shell does with one stream. */
+function feed(assembly: upstream.Assembly, pieces: readonly upstream.Piece[], passed: string[]): upstream.Assembly {
+    let state = assembly;
+    for (const piece of pieces) {
+        const transaction = upstream.assemble(state, piece);
+        state = transaction.state;
+        for (const action of transaction.actions) {
+            if (action.kind === upstream.AssemblyActionKind.Pass) {
+                passed.push(action.text);
+            }
+            if (action.kind === upstream.AssemblyActionKind.Resume) {
+                return state;
+            }
+        }
+    }
+    return state;
+}
+
+describe("assembly of an answer", () => {
+    it("passes on each token once and in order, whatever repeats, holes and reordering the streams have", () => {
+        const anyPieces = fastCheck.array(fastCheck.oneof(fastCheck.nat(12).map(token), fastCheck.constant(end(10))));
+        fastCheck.assert(
+            fastCheck.property(fastCheck.array(anyPieces), (streams) => {
+                const passed: string[] = [];
+                let state = upstream.emptyAssembly;
+                for (const pieces of streams) {
+                    state = feed(state, pieces, passed);
+                }
+                chai.expect(passed).to.deep.equal(Array.from({ length: state.next }, (_, index) => `${index} `));
+            }),
+            { seed: 20_261_204, numRuns: 500 },
+        );
+    });
+
+    it("finishes only when all tokens were passed on, and takes nothing after the end", () => {
+        const passed: string[] = [];
+        let state = feed(upstream.emptyAssembly, [token(0), end(2)], passed);
+        chai.expect(state).to.deep.equal({ next: 1, finished: false });
+        state = feed(state, [token(1), end(2), token(2)], passed);
+        chai.expect(state).to.deep.equal({ next: 2, finished: true });
+        chai.expect(passed).to.deep.equal(["0 ", "1 "]);
+    });
+});
