Fix the shapes that the parts of the router share

Cause: membership, admission, scheduling, operations, quarantine and orders are to be built side by side; without fixed interfaces and one file for each concern they would meet in the same files.

Before: the shells had no place for hand-over, suspects or orders.

Conclusion: the packages can be filled independently.

--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -3,6 +3,7 @@
  * outcomes. Nothing here reads a clock, a socket or a random source of the machine.
  */
 export * from "./invariant.js";
+export * from "./module.js";
 export * from "./outcome.js";
 export * from "./random.js";
 export * from "./time.js";
--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -177,18 +177,22 @@
     }
 }
 
-/** Resolves when every router has the revision in force and knows the engines of the model pool by their reports. */
+/** What a router's status says that is waited for. */
+interface RouterStatus {
+    readonly revision: number;
+    readonly settled: boolean;
+    readonly pools: readonly { readonly upstreams: readonly { readonly name: string; readonly role?: string; }[]; }[];
+}
+
+/** Resolves when every router has the revision in force and all engines have reported to at least one of them. */
 export async function waitUntilServing(fleet: RunningFleet, revision: number): Promise<void> {
     const engines = fleet.prefillEngines.length + fleet.decodeEngines.length;
-    for (const router of fleet.routers) {
-        await waitUntil(`${router.host} serving revision ${revision}`, async () => {
-            const response = await fetch(`${router.control}/status`);
-            const status = await response.json() as {
-                revision: number;
-                pools: { upstreams: { role?: string; }[]; }[];
-            };
-            const reported = status.pools.flatMap((pool) => pool.upstreams).filter((one) => one.role !== undefined);
-            return status.revision >= revision && reported.length >= engines;
-        });
-    }
+    await waitUntil(`every router serving revision ${revision}`, async () => {
+        const statuses = await Promise.all(
+            fleet.routers.map(async (router) => await (await fetch(`${router.control}/status`)).json() as RouterStatus),
+        );
+        const upstreams = statuses.flatMap((status) => status.pools).flatMap((pool) => pool.upstreams);
+        const reported = new Set(upstreams.filter((one) => one.role !== undefined).map((one) => one.name));
+        return reported.size >= engines && statuses.every((status) => status.settled && status.revision >= revision);
+    });
 }
--- a/packages/router/src/control.ts
+++ b/packages/router/src/control.ts
@@ -78,6 +78,8 @@
         revision: configuration.current()?.revision ?? 0,
         keysUsable: configuration.keysUsable(),
         ready: state.ready(),
+        settled: membership.settled(),
+        orders: served.orders.underWay(),
         openRequests: state.openRequests(),
         roster: membership.roster(),
         pools,
--- a/packages/router/src/membershipshell.ts
+++ b/packages/router/src/membershipshell.ts
@@ -27,8 +27,15 @@
     readonly ownerOf: (partition: string) => RosterHost | undefined;
     /** This host's right to act for a partition now, or undefined if it has none. Asked at every act. */
     readonly rightFor: (partition: string) => PartitionRight | undefined;
+    /** Whether this host is in the roster and every partition has an owner, as last known. */
+    readonly settled: () => boolean;
     /** Calls back when the roster or the owners have changed. */
     readonly onChange: (listener: () => void) => void;
+    /**
+     * Calls back before a partition is handed to another host, once this host has stopped acting for it. The hand-over
+     * goes on when the promise resolves.
+     */
+    readonly beforeHandOver: (listener: (partition: string, next: RosterHost) => Promise<void>) => void;
     /** Hands over what this host owns, for a planned stop. */
     readonly handOver: () => Promise<void>;
 }
@@ -46,7 +53,9 @@
         roster: () => [self],
         ownerOf: () => self,
         rightFor: () => ({ fencing: 1, until: Infinity }),
+        settled: () => true,
         onChange: () => undefined,
+        beforeHandOver: () => undefined,
         handOver: async () => undefined,
     };
 }
--- a/packages/router/src/modelpath.ts
+++ b/packages/router/src/modelpath.ts
@@ -4,6 +4,7 @@
 import * as callerRequests from "./callerrequest.js";
 import * as enginememory from "./enginememory.js";
 import type * as parts from "./parts.js";
+import * as quarantines from "./quarantineshell.js";
 import * as refusals from "./refusal.js";
 import * as schedulings from "./schedulingshell.js";
 
@@ -92,6 +93,10 @@
 
 async function travel(journey: Journey): Promise<ModelOutcome> {
     for (let attempt = 0; attempt < ATTEMPT_LIMIT; attempt++) {
+        const verdict = journey.parts.quarantine.verdict(journey.wish.fingerprint);
+        if (verdict.standing === quarantines.Standing.Quarantined) {
+            return refused(journey, quarantineRefusal(journey, verdict));
+        }
         const placed = await journey.parts.scheduling.place(placementWish(journey));
         if (!placed.placed) {
             return refused(journey, placementRefusal(journey, placed));
@@ -150,13 +155,18 @@
         outputTokens: wish.outputTokens - journey.assembly.next,
         firstTokenDeadline: request.arrivedAt + wish.firstTokenTargetMs,
         deadline: request.deadline,
-        fingerprint: wish.fingerprint,
+        suspect: journey.parts.quarantine.verdict(wish.fingerprint).standing === quarantines.Standing.Suspect,
         prefixHashes: wish.prefixHashes,
         avoid: journey.avoid,
         signal: request.signal,
     };
 }
 
+function quarantineRefusal(journey: Journey, verdict: quarantines.Verdict): refusals.Refusal {
+    const make = journey.avoid.length > 0 ? refusals.mayHaveRun : refusals.notRun;
+    return make(refusals.Reason.Quarantined, "this request made upstreams crash", verdict.remainingMs);
+}
+
 function placementRefusal(
     journey: Journey,
     outcome: Extract<schedulings.PlacementOutcome, { placed: false; }>,
@@ -164,8 +174,6 @@
     const retry = outcome.retryAfterMs;
     const make = journey.assembly.next > 0 || journey.avoid.length > 0 ? refusals.mayHaveRun : refusals.notRun;
     switch (outcome.refusal) {
-        case schedulings.PlacementRefusal.Quarantined:
-            return make(refusals.Reason.Quarantined, "this request made upstreams crash", retry);
         case schedulings.PlacementRefusal.Shed:
             return make(refusals.Reason.Overloaded, "no engine can serve this in time", retry);
         case schedulings.PlacementRefusal.Aborted:
@@ -234,7 +242,7 @@
     outcome: upstream.CallOutcome<unknown>,
     failed: string[],
 ): void {
-    const { context, scheduling, upstreams } = journey.parts;
+    const { context, quarantine, upstreams } = journey.parts;
     context.metrics.upstreamCalls.inc({ call, result: outcome.result });
     journey.request.note(engineName, `${call} ${outcome.result}`);
     if (outcome.result === upstream.CallResult.Refused && outcome.refusal === upstream.UpstreamRefusal.Departing) {
@@ -245,7 +253,7 @@
         failed.push(engineName);
     }
     if (outcome.result === upstream.CallResult.Broken && !journey.request.signal.aborted) {
-        scheduling.noteCrash(journey.wish.fingerprint, engineName);
+        quarantine.noteBreak(journey.wish.fingerprint, engineName, journey.request.requestId);
     }
 }
 
@@ -278,7 +286,8 @@
         }
     }
     failed.push(placement.decode.name);
-    journey.parts.scheduling.noteCrash(journey.wish.fingerprint, placement.decode.name);
+    const { fingerprint } = journey.wish;
+    journey.parts.quarantine.noteBreak(fingerprint, placement.decode.name, journey.request.requestId);
     return Leg.Again;
 }
 
--- a/packages/router/src/parts.ts
+++ b/packages/router/src/parts.ts
@@ -3,6 +3,8 @@
 import type * as contexts from "./context.js";
 import type * as memberships from "./membershipshell.js";
 import type * as operations from "./operationsshell.js";
+import type * as orders from "./ordersshell.js";
+import type * as quarantines from "./quarantineshell.js";
 import type * as schedulings from "./schedulingshell.js";
 import type * as upstreams from "./upstreams.js";
 
@@ -14,5 +16,7 @@
     readonly admission: admissions.Admission;
     readonly scheduling: schedulings.Scheduling;
     readonly operations: operations.Operations;
+    readonly quarantine: quarantines.Quarantine;
+    readonly orders: orders.Orders;
     readonly upstreams: upstreams.Upstreams;
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -12,8 +12,10 @@
 import * as memberships from "./membershipshell.js";
 import * as metrics from "./metrics.js";
 import * as operations from "./operationsshell.js";
+import * as orders from "./ordersshell.js";
 import type * as parts from "./parts.js";
 import * as peers from "./peers.js";
+import * as quarantines from "./quarantineshell.js";
 import * as schedulings from "./schedulingshell.js";
 import * as traces from "./trace.js";
 import * as upstreams from "./upstreams.js";
@@ -85,5 +87,7 @@
         admission: admissions.startAdmission(context, inForce, membership, links),
         scheduling: schedulings.startScheduling(context, inForce, membership, known, links),
         operations: operations.startOperations(context),
+        quarantine: quarantines.startQuarantine(context, membership, links),
+        orders: orders.startOrders(context, inForce, membership, known),
     };
 }
--- a/packages/router/src/schedulingshell.ts
+++ b/packages/router/src/schedulingshell.ts
@@ -19,8 +19,8 @@
     readonly outputTokens: number;
     readonly firstTokenDeadline: decision.Milliseconds;
     readonly deadline: decision.Milliseconds;
-    /** Names the content, so that a request that crashes upstreams is known again. */
-    readonly fingerprint: string;
+    /** Whether the content may have crashed an upstream: no two suspects run on one engine at a time. */
+    readonly suspect: boolean;
     /** Hashes of the prompt's prefixes, shortest first. */
     readonly prefixHashes: readonly string[];
     /** Upstreams that this request must not be placed on again. */
@@ -49,8 +49,6 @@
 export enum PlacementRefusal {
     /** It can't be served before its deadline any more. */
     Shed = "shed",
-    /** Its content crashed upstreams. */
-    Quarantined = "quarantined",
     /** The request went away while it waited. */
     Aborted = "aborted",
 }
@@ -67,10 +65,6 @@
 /** Places requests on the engines of the pools. */
 export interface Scheduling {
     readonly place: (wish: PlacementWish) => Promise<PlacementOutcome>;
-    /** Whether a content is quarantined, and for how long still, in milliseconds. */
-    readonly quarantinedFor: (fingerprint: string) => decision.Milliseconds | undefined;
-    /** Takes note that an upstream broke off while it ran this content. */
-    readonly noteCrash: (fingerprint: string, upstreamName: string) => void;
 }
 
 const LOAD_PERIOD_MS = 250;
@@ -95,8 +89,6 @@
     return {
         place: (wish) =>
             queueFor(wish.pool).add(async () => placeOnLeastLoaded(known, wish), { priority: -wish.priority }),
-        quarantinedFor: () => undefined,
-        noteCrash: () => undefined,
     };
 }
 
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,4 @@
+/** Support for tests. */
+export * from "./golden.js";
+export * from "./ports.js";
+export * from "./seeds.js";
