Count the bytes of control connections

Ruled out: summing encoded message sizes, which leaves out heads and what the library adds.

Before: no figure. After: citronlead_control_bytes counts the connections to the platform and between routers at the socket, watches included when they are given the agent; process metrics of prom-client are in /metrics.

Conclusion: slopes can be read off /metrics.

--- a/packages/platform/src/watch.ts
+++ b/packages/platform/src/watch.ts
@@ -33,6 +33,7 @@
     readonly fromRevision: number;
     /** A watch that tells nothing for this long is taken for broken, in milliseconds. */
     readonly silenceMs: decision.Milliseconds;
+    readonly agent?: http.Agent;
 }
 
 /** The longest frame that is read, in characters: a value of a megabyte in base64, with room to spare. */
@@ -81,6 +82,7 @@
     });
     const request = http.request(`${options.address}/v3/watch`, {
         method: "POST",
+        agent: options.agent,
         headers: { "content-type": "application/json", "content-length": Buffer.byteLength(body) },
     });
     const silence = setTimeout(() => end("silence"), options.silenceMs);
--- a/packages/router/src/context.ts
+++ b/packages/router/src/context.ts
@@ -6,6 +6,7 @@
 import type * as pino from "pino";
 import type * as metrics from "./metrics.js";
 import type * as traces from "./trace.js";
+import type * as traffics from "./traffic.js";
 
 /** What every part of one router process works with. */
 export interface Context {
@@ -21,6 +22,8 @@
     readonly keyValue: platform.KeyValue;
     /** Keeps connections to upstreams open between calls. */
     readonly agent: http.Agent;
+    /** Connections to the platform and to other routers, counted. */
+    readonly control: traffics.ControlTraffic;
 }
 
 /** The name under which this process holds engine memory: its host and incarnation. */
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -22,6 +22,7 @@
 /** Makes the metrics of one router. */
 export function makeMetrics(labelLimit: number = LABEL_LIMIT): Metrics {
     const registry = new promClient.Registry();
+    promClient.collectDefaultMetrics({ register: registry });
     const histogram = (name: string, help: string) =>
         new promClient.Histogram({
             name,
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -41,9 +41,7 @@
     const receivers = new Map<string, Receiver[]>();
     const outboxes = new Map<string, Outbox>();
     await listen(context, (request) => deliver(receivers, request));
-    const agent = new http.Agent({ keepAlive: true });
-    context.scope.own(() => agent.destroy());
-    const clients = makeClients(agent);
+    const clients = makeClients(context.control.agent);
     const flush = async (host: string, outbox: Outbox) => {
         outbox.underWay = true;
         while (outbox.waiting.length > 0 && !context.scope.closed) {
@@ -121,6 +119,7 @@
             }),
     });
     const server = http.createServer(handler);
+    context.control.watchServer(server);
     const { address, port } = context.settings.peers;
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -18,6 +18,7 @@
 import * as quarantines from "./quarantineshell.js";
 import * as schedulings from "./schedulingshell.js";
 import * as traces from "./trace.js";
+import * as traffic from "./traffic.js";
 import * as upstreams from "./upstreams.js";
 
 /** A router that runs. */
@@ -57,6 +58,8 @@
     const incarnation = crypto.randomUUID();
     const agent = new http.Agent({ keepAlive: true });
     scope.own(() => agent.destroy());
+    const measured = metrics.makeMetrics();
+    const controlTraffic = traffic.countControlTraffic(scope, measured.registry);
     return {
         settings,
         incarnation,
@@ -64,12 +67,13 @@
         agent,
         clock: lifecycle.monotonicClock,
         log: logs.makeLog(settings, incarnation),
-        metrics: metrics.makeMetrics(),
+        control: controlTraffic,
+        metrics: measured,
         traces: traces.makeTraces(settings.host, TRACE_LIMIT, lifecycle.monotonicClock),
         keyValue: platform.connectKeyValue({
             addresses: settings.platform.keyValue,
             timeoutMs: settings.platform.timeout,
-            agent,
+            agent: controlTraffic.agent,
         }),
     };
 }
--- a/packages/router/src/upstreams.ts
+++ b/packages/router/src/upstreams.ts
@@ -35,7 +35,7 @@
     const listeners: (() => void)[] = [];
     const refresh = async () => {
         const { platform: where } = context.settings;
-        const outcome = await platform.readHosts(where.hostList, where.timeout, context.agent);
+        const outcome = await platform.readHosts(where.hostList, where.timeout, context.control.agent);
         if (outcome.effect !== decision.Effect.Known) {
             context.log.warn({ reason: outcome.reason }, "host list not read");
             return;
