--- a/packages/router/src/traffic.ts
+++ b/packages/router/src/traffic.ts
@@ -1,6 +1,6 @@
 import type * as lifecycle from "@citronlead/lifecycle";
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as promClient from "prom-client";
 
 /** Counts the bytes of connections that carry control: those to the platform and to other routers. */
@@ -41,15 +41,15 @@
     return { agent, watchServer: (server) => server.on("connection", watchSocket) };
 }
 
-type Connect = (options: net.NetConnectOpts, callback?: () => void) => net.Socket;
-
 /** Makes an agent that tells of each connection that it makes. */
 function countingAgent(watchSocket: (socket: net.Socket) => void): http.Agent {
-    const agent = new http.Agent({ keepAlive: true }) as http.Agent & { createConnection: Connect; };
+    const agent = new http.Agent({ keepAlive: true });
     const connect = agent.createConnection.bind(agent);
     agent.createConnection = (options, callback) => {
         const socket = connect(options, callback);
-        watchSocket(socket);
+        if (socket instanceof net.Socket) {
+            watchSocket(socket);
+        }
         return socket;
     };
     return agent;
