--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -113,6 +113,7 @@
     .option("--port-base <port>", "first port of the fleet", Number, fleets.smallFleet.portBase)
     .parse();
 const scope = new lifecycle.Lifecycle("demo");
+processes.exitOnSignals();
 let held = false;
 try {
     held = await demonstrate(scope, program.opts<{ portBase: number; }>().portBase);
--- a/packages/demo/src/processes.ts
+++ b/packages/demo/src/processes.ts
@@ -29,6 +29,19 @@
 /** The directory with the shipped configurations. */
 export const EXAMPLES = path.resolve(packages, "../examples");
 
+/** A process that has not said by then that it is ready has failed to start. */
+const READY_LIMIT_MS = 30_000;
+
+const children = new Set<childProcess.ChildProcess>();
+process.once("exit", () => children.forEach((child) => child.kill("SIGKILL")));
+
+/** Exits on the usual signals, which ends the processes that this one has started as well. */
+export function exitOnSignals(): void {
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+        process.once(signal, () => process.exit(1));
+    }
+}
+
 /** Starts a program of this repository and resolves when it has printed a line that the predicate accepts. */
 export async function startProcess(
     scope: lifecycle.Lifecycle,
@@ -39,20 +52,29 @@
     const ended = new Promise<number | string>((resolve) =>
         child.once("exit", (code, signal) => resolve(code ?? signal ?? "unknown"))
     );
+    children.add(child);
+    void ended.then(() => children.delete(child));
     scope.own(async () => {
         child.kill("SIGKILL");
         await ended;
     });
     const lines: string[] = [];
-    await new Promise<void>((resolve, reject) => {
+    const started = new Promise<void>((resolve, reject) => {
+        const timer = setTimeout(
+            () => reject(new Error(`${parameters.join(" ")} was not ready in ${READY_LIMIT_MS} ms`)),
+            READY_LIMIT_MS,
+        );
+        void ended.then(() => clearTimeout(timer));
         readline.createInterface({ input: child.stdout }).on("line", (line) => {
             lines.push(line);
             if (ready(line)) {
+                clearTimeout(timer);
                 resolve();
             }
         });
         void ended.then((how) => reject(new Error(`${parameters.join(" ")} ended with ${how} before it was ready`)));
     });
+    await started;
     return { child, lines, ended };
 }
 
