Decide who may act: leases, successors' promises, takeover and owners

Cause: every host believed that it owned every partition. Now a host acts while its lease at the key-value service or the promise of the successor named in its own record holds. Takeover, assignment, hand-over and planned stop are single compare-and-swaps.

--- /dev/null
+++ b/packages/membership/src/checker.ts
@@ -0,0 +1,50 @@
+import * as decision from "@citronlead/decision";
+import type * as rights from "./rights.js";
+import type * as tables from "./table.js";
+
+/** A host that could act for a partition at one moment. */
+export interface Holder {
+    /** Names the process. */
+    readonly holder: string;
+    readonly right: rights.Right;
+}
+
+/** Checks what must always hold about partitions, over all hosts of a run. Stops the process when it does not. */
+export class OwnershipChecker {
+    private readonly highestFencing = new Map<string, { fencing: number; holder: string; }>();
+
+    /** Takes in all that could act for a partition at one moment. */
+    observe(partition: string, holders: readonly Holder[]): void {
+        decision.invariant(
+            holders.length <= 1,
+            () => `${partition} has ${holders.length} owners: ${JSON.stringify(holders)}`,
+        );
+        holders.forEach((holder) => this.act(partition, holder));
+    }
+
+    /** Takes in one act. */
+    act(partition: string, { holder, right }: Holder): void {
+        const former = this.highestFencing.get(partition);
+        decision.invariant(
+            former === undefined || right.fencing >= former.fencing,
+            () => `${partition}: ${holder} acts with fencing ${right.fencing} after ${JSON.stringify(former)}`,
+        );
+        decision.invariant(
+            former?.fencing !== right.fencing || former.holder === holder,
+            () => `${partition}: ${holder} acts with the fencing ${right.fencing} of ${former?.holder}`,
+        );
+        this.highestFencing.set(partition, { fencing: right.fencing, holder });
+    }
+
+    /** Takes in a table that replaced another one. */
+    replaced(former: tables.Table, next: tables.Table): void {
+        for (const [partition, owner] of Object.entries(former)) {
+            const later = next[partition];
+            const same = later?.host === owner.host && later.incarnation === owner.incarnation;
+            decision.invariant(
+                later !== undefined && (same ? later.fencing >= owner.fencing : later.fencing > owner.fencing),
+                () => `${partition}: ${JSON.stringify(later)} follows ${JSON.stringify(owner)}`,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/packages/membership/src/module.ts
@@ -0,0 +1,11 @@
+import type * as decision from "@citronlead/decision";
+import * as members from "./member.js";
+import * as states from "./state.js";
+
+/** Membership as golden files and `citronlead decide` drive it. */
+export const membershipModule: decision.DecisionModule<
+    states.MemberSettings,
+    states.MemberState,
+    states.MemberEvent,
+    states.MemberAction
+> = { name: "membership", start: states.startMember, decide: members.decideMember };
--- /dev/null
+++ b/packages/membership/src/wanted.ts
@@ -0,0 +1,83 @@
+import * as partitions from "./partitions.js";
+import type * as records from "./records.js";
+
+const SLICE_NAME = /^slice-(\d+)-/;
+const numbers = new Map<string, number>();
+const NUMBERS_LIMIT = 10_000;
+
+/** The hash of a name, kept so that scores cost a few operations each. */
+function nameNumber(name: string): number {
+    const known = numbers.get(name);
+    if (known !== undefined) {
+        return known;
+    }
+    if (numbers.size >= NUMBERS_LIMIT) {
+        numbers.clear();
+    }
+    const number = partitions.hashNumber(name);
+    numbers.set(name, number);
+    return number;
+}
+
+/** The rendezvous score of a host for a partition: the finalizer of MurmurHash3 over both hashes. */
+function score(partition: string, host: string): number {
+    let mixed = nameNumber(partition) ^ Math.imul(nameNumber(host), 0x9e3779b1);
+    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+    return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
+function highest(partition: string, hosts: readonly records.HostRecord[]): records.HostRecord | undefined {
+    let best: records.HostRecord | undefined;
+    let bestScore = -1;
+    for (const host of hosts) {
+        const own = score(partition, host.host);
+        if (own > bestScore || (own === bestScore && host.host < (best?.host ?? ""))) {
+            best = host;
+            bestScore = own;
+        }
+    }
+    return best;
+}
+
+/**
+ * The wanted owner of each partition. Slice k of a workspace prefers the k-th availability zone, so that the loss of a
+ * zone costs a workspace one slice.
+ */
+export function wantedOwners(
+    names: readonly string[],
+    hosts: readonly records.HostRecord[],
+): Readonly<Record<string, records.HostRecord>> {
+    const zones = [...new Set(hosts.map((host) => host.availabilityZone))].sort();
+    const byZone = zones.map((zone) => hosts.filter((host) => host.availabilityZone === zone));
+    const wanted: Record<string, records.HostRecord> = {};
+    for (const name of names) {
+        const slice = SLICE_NAME.exec(name)?.[1];
+        const candidates = slice === undefined ? hosts : byZone[Number(slice) % zones.length] ?? hosts;
+        const owner = highest(name, candidates);
+        if (owner) {
+            wanted[name] = owner;
+        }
+    }
+    return wanted;
+}
+
+/**
+ * The hosts after a name on a ring in the order of their hashes. Successors follow one ring, so that the hosts that are
+ * gone name each other in a circle only if the whole fleet is gone.
+ */
+export function clockwise(name: string, hosts: readonly records.HostRecord[]): readonly records.HostRecord[] {
+    const start = nameNumber(name);
+    const distance = (host: string) => (nameNumber(host) - start) >>> 0;
+    return hosts.filter((host) => host.host !== name)
+        .sort((left, right) => distance(left.host) - distance(right.host) || (left.host < right.host ? -1 : 1));
+}
+
+/** The successor that a host should name: the next on the ring, in another availability zone if there is one. */
+export function wantedSuccessor(
+    own: records.HostRecord,
+    hosts: readonly records.HostRecord[],
+): records.HostRecord | undefined {
+    const ring = clockwise(own.host, hosts);
+    return ring.find((host) => host.availabilityZone !== own.availabilityZone) ?? ring[0];
+}
--- /dev/null
+++ b/packages/membership/test/service.ts
@@ -0,0 +1,81 @@
+import * as membership from "../src/index.js";
+
+interface Entry extends membership.StoredEntry {
+    readonly lease?: string;
+}
+
+/** A small key-value service with compare-and-swap and leases. Time is passed in, in milliseconds. */
+export class FakeService {
+    revision = 1;
+    private readonly entries = new Map<string, Entry>();
+    private readonly leases = new Map<string, { endsAt: number; timeToLiveMs: number; }>();
+    private leaseCount = 0;
+
+    grant(timeToLiveMs: number, now: number): { id: string; timeToLiveMs: number; } {
+        this.expire(now);
+        const id = `lease-${++this.leaseCount}`;
+        this.leases.set(id, { endsAt: now + timeToLiveMs, timeToLiveMs });
+        return { id, timeToLiveMs };
+    }
+
+    keep(id: string, now: number): { id: string; timeToLiveMs: number; } {
+        this.expire(now);
+        const lease = this.leases.get(id);
+        if (!lease) {
+            return { id, timeToLiveMs: 0 };
+        }
+        lease.endsAt = now + lease.timeToLiveMs;
+        return { id, timeToLiveMs: lease.timeToLiveMs };
+    }
+
+    revoke(id: string): void {
+        this.leases.delete(id);
+        const doomed = [...this.entries.values()].filter((entry) => entry.lease === id);
+        if (doomed.length > 0) {
+            this.revision++;
+            doomed.forEach((entry) => this.entries.delete(entry.key));
+        }
+    }
+
+    swap(
+        comparisons: readonly membership.Comparison[],
+        writes: readonly membership.Write[],
+        now: number,
+    ): boolean | undefined {
+        this.expire(now);
+        if (writes.some((write) => write.lease !== undefined && !this.leases.has(write.lease))) {
+            return undefined;
+        }
+        const holds = comparisons.every((one) => (this.entries.get(one.key)?.modRevision ?? 0) === one.modRevision);
+        if (holds) {
+            this.revision++;
+            writes.forEach((write) => this.write(write));
+        }
+        return holds;
+    }
+
+    read(partitions: readonly string[], now: number): membership.View {
+        this.expire(now);
+        const table = this.entries.get(membership.TABLE_KEY);
+        return {
+            hostsRevision: this.revision,
+            tableRevision: this.revision,
+            hosts: membership.readHosts([...this.entries.values()]),
+            tableVersion: table?.modRevision ?? 0,
+            table: table ? membership.readTable(partitions, table.value) : {},
+        };
+    }
+
+    private write({ key, value, lease }: membership.Write): void {
+        if (value === undefined) {
+            this.entries.delete(key);
+            return;
+        }
+        const createRevision = this.entries.get(key)?.createRevision ?? this.revision;
+        this.entries.set(key, { key, value, lease, modRevision: this.revision, createRevision });
+    }
+
+    private expire(now: number): void {
+        [...this.leases].filter(([, lease]) => lease.endsAt <= now).forEach(([id]) => this.revoke(id));
+    }
+}
