Run membership over the key-value service and the peers

Cause: the router claimed every partition. A grant names the asker's incarnation, so that a later process of the host does not take it for its own.

--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -50,7 +50,8 @@
 
 /** A newer view lets the next write go earlier than the time for repeating a failed one. */
 function hastened(state: states.MemberState, now: decision.Milliseconds): states.MemberState {
-    return state.swapCall ? state : { ...state, nextSwapAt: Math.min(state.nextSwapAt, now + swaps.stagger(state)) };
+    const earliest = now + (state.lostRace ? swaps.stagger(state) : 0);
+    return state.swapCall ? state : { ...state, nextSwapAt: Math.min(state.nextSwapAt, earliest) };
 }
 
 function takeReady(state: states.MemberState, number: number): states.MemberState {
--- a/packages/membership/src/promise.ts
+++ b/packages/membership/src/promise.ts
@@ -39,6 +39,11 @@
     now: decision.Milliseconds,
 ): Step {
     const { message, host } = event;
+    const answersOther = message.kind !== states.MessageKind.Request
+        && message.incarnation !== state.settings.incarnation;
+    if (answersOther) {
+        return decision.unchanged(state);
+    }
     switch (message.kind) {
         case states.MessageKind.Request:
             return answerRequest(state, host, message, now);
@@ -56,14 +61,14 @@
     request: Extract<states.MemberMessage, { kind: states.MessageKind.Request; }>,
     now: decision.Milliseconds,
 ): Step {
-    const { number } = request;
+    const { number, incarnation } = request;
     const reason = reasonToRefuse(state, host, request, now);
     if (reason !== undefined) {
-        const message: states.MemberMessage = { kind: states.MessageKind.Refusal, number, reason };
+        const message: states.MemberMessage = { kind: states.MessageKind.Refusal, number, incarnation, reason };
         return { state, actions: [{ kind: states.ActionKind.Send, host, message }] };
     }
     const durationMs = durations.PROMISE_MS;
-    const message: states.MemberMessage = { kind: states.MessageKind.Grant, number, durationMs };
+    const message: states.MemberMessage = { kind: states.MessageKind.Grant, number, incarnation, durationMs };
     return {
         state: { ...state, given: { ...state.given, [host]: now + durationMs } },
         actions: [{ kind: states.ActionKind.Send, host, message }],
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -21,8 +21,19 @@
         /** The version of the asker's record. */
         readonly version: number;
     }
-    | { readonly kind: MessageKind.Grant; readonly number: number; readonly durationMs: decision.Milliseconds; }
-    | { readonly kind: MessageKind.Refusal; readonly number: number; readonly reason: Refusal; };
+    | {
+        readonly kind: MessageKind.Grant;
+        readonly number: number;
+        /** The asker's incarnation: a later process of the same host counts its requests anew. */
+        readonly incarnation: string;
+        readonly durationMs: decision.Milliseconds;
+    }
+    | {
+        readonly kind: MessageKind.Refusal;
+        readonly number: number;
+        readonly incarnation: string;
+        readonly reason: Refusal;
+    };
 
 /** The kinds of message. */
 export enum MessageKind {
@@ -201,6 +212,8 @@
     readonly swapCall?: SwapCall;
     readonly nextLeaseCallAt: decision.Milliseconds;
     readonly nextSwapAt: decision.Milliseconds;
+    /** Whether the latest write took no effect, or may have taken none. */
+    readonly lostRace: boolean;
     readonly promised?: Promised;
     readonly asks: readonly Ask[];
     readonly nextAskAt: decision.Milliseconds;
@@ -232,6 +245,7 @@
         leaseUntil: -Infinity,
         nextLeaseCallAt: now,
         nextSwapAt: now,
+        lostRace: false,
         asks: [],
         nextAskAt: now,
         rewriteWanted: false,
--- a/packages/membership/src/swaps.ts
+++ b/packages/membership/src/swaps.ts
@@ -165,6 +165,7 @@
         state: {
             ...settled,
             swapCall: undefined,
+            lostRace: event.succeeded !== true,
             nextSwapAt: now + durations.CALL_RETRY_MS + stagger(state),
             nextHandOverAt: moved ? now + durations.HAND_OVER_PAUSE_MS : state.nextHandOverAt,
         },
--- /dev/null
+++ b/packages/router/src/membershipcalls.ts
@@ -0,0 +1,45 @@
+import * as decision from "@citronlead/decision";
+import * as membership from "@citronlead/membership";
+import * as platform from "@citronlead/platform";
+import type * as contexts from "./context.js";
+
+type LeaseAction = Extract<
+    membership.MemberAction,
+    { kind: membership.ActionKind.GrantLease | membership.ActionKind.KeepLease; }
+>;
+type SwapAction = Extract<membership.MemberAction, { kind: membership.ActionKind.Swap; }>;
+
+/** Grants or renews the lease of this host and returns the event that answers. */
+export async function callLease(context: contexts.Context, action: LeaseAction): Promise<membership.MemberEvent> {
+    const { call } = action;
+    const outcome = action.kind === membership.ActionKind.GrantLease
+        ? await context.keyValue.grantLease(action.timeToLiveMs / decision.SECOND_MS)
+        : await context.keyValue.keepLease(action.lease);
+    const { LeaseAnswered: kind } = membership.EventKind;
+    if (outcome.effect !== decision.Effect.Known) {
+        return { kind, call };
+    }
+    const timeToLiveMs = outcome.value.timeToLiveSeconds * decision.SECOND_MS;
+    return { kind, call, lease: { id: outcome.value.id, timeToLiveMs } };
+}
+
+/** Writes to the key-value service and returns the event that answers. */
+export async function callSwap(context: contexts.Context, action: SwapAction): Promise<membership.MemberEvent> {
+    const { call, comparisons } = action;
+    const changes = action.writes.map(({ key, value, lease }): platform.Change =>
+        value === undefined
+            ? { kind: platform.ChangeKind.Delete, key }
+            : { kind: platform.ChangeKind.Put, key, value, lease }
+    );
+    const outcome = await context.keyValue.swap(comparisons, changes);
+    const succeeded = outcome.effect === decision.Effect.Known ? outcome.value.succeeded : undefined;
+    const { purpose } = action;
+    const unseen = purpose === membership.Purpose.Rename || purpose === membership.Purpose.Attach;
+    if (succeeded && !unseen) {
+        context.log.info({ purpose, keys: action.writes.map((write) => write.key) }, "membership written");
+    }
+    else {
+        context.log.debug({ purpose, succeeded }, "membership write answered");
+    }
+    return { kind: membership.EventKind.SwapAnswered, call, succeeded };
+}
