--- a/packages/membership/src/durations.ts
+++ b/packages/membership/src/durations.ts
@@ -1,16 +1,24 @@
 import * as decision from "@citronlead/decision";
 
-/** How long a lease of the key-value service lives without renewal, in milliseconds. */
-export const SERVICE_LEASE_MS = 10 * decision.SECOND_MS;
-
-/** How often a host renews its lease, in milliseconds. */
-export const LEASE_RENEWAL_MS = SERVICE_LEASE_MS / 3;
+/** How long leases and promises live. */
+export interface Timing {
+    /** A lease of the key-value service without renewal, in milliseconds. */
+    readonly leaseMs: decision.Milliseconds;
+    /** A successor's promise, in milliseconds. */
+    readonly promiseMs: decision.Milliseconds;
+    /** How long a host must be seen without its lease before anyone asks for its takeover, in milliseconds. */
+    readonly graceMs: decision.Milliseconds;
+}
 
-/** How long a successor's promise lives, in milliseconds. */
-export const PROMISE_MS = 10 * decision.SECOND_MS;
+/** The timing of a fleet: each host renews its lease and its promise every third of their lives. */
+export const DEFAULT_TIMING: Timing = {
+    leaseMs: 10 * decision.SECOND_MS,
+    promiseMs: 10 * decision.SECOND_MS,
+    graceMs: 1 * decision.SECOND_MS,
+};
 
-/** How often a host asks for its successor's promise, in milliseconds. */
-export const PROMISE_RENEWAL_MS = PROMISE_MS / 3;
+/** How many renewals fit into the life of a lease or a promise. */
+export const RENEWALS = 3;
 
 /** How soon a refused request for a promise is repeated, in milliseconds. */
 export const PROMISE_RETRY_MS = 500;
@@ -21,9 +29,6 @@
 /** The longest that promises carry a host which cannot renew its lease, in milliseconds. */
 export const LONGEST_OUTAGE_MS = 7_200 * decision.SECOND_MS;
 
-/** How long a host must be seen without its lease before anyone asks for its takeover, in milliseconds. */
-export const TAKEOVER_GRACE_MS = 1 * decision.SECOND_MS;
-
 /** How soon a failed or unanswered call to the key-value service is repeated, in milliseconds. */
 export const CALL_RETRY_MS = 300;
 
--- a/packages/membership/src/lease.ts
+++ b/packages/membership/src/lease.ts
@@ -24,7 +24,7 @@
     const call = state.count + 1;
     const action: states.MemberAction = state.lease
         ? { kind: states.ActionKind.KeepLease, call, lease: state.lease.id }
-        : { kind: states.ActionKind.GrantLease, call, timeToLiveMs: durations.SERVICE_LEASE_MS };
+        : { kind: states.ActionKind.GrantLease, call, timeToLiveMs: state.settings.timing.leaseMs };
     return { state: { ...state, count: call, leaseCall: { call, askedAt: now } }, actions: [action] };
 }
 
@@ -53,7 +53,7 @@
         ...answered,
         lease,
         leaseUntil: Math.max(state.leaseUntil, until),
-        nextLeaseCallAt: askedAt + durations.LEASE_RENEWAL_MS,
+        nextLeaseCallAt: askedAt + lease.timeToLiveMs / durations.RENEWALS,
     });
 }
 
--- a/packages/membership/src/promise.ts
+++ b/packages/membership/src/promise.ts
@@ -27,7 +27,7 @@
     };
     const asks = [...state.asks.slice(1 - ASKS_LIMIT), ask];
     return {
-        state: { ...state, count: number, asks, nextAskAt: now + durations.PROMISE_RENEWAL_MS },
+        state: { ...state, count: number, asks, nextAskAt: now + state.settings.timing.promiseMs / durations.RENEWALS },
         actions: [{ kind: states.ActionKind.Send, host: successor.host, message }],
     };
 }
@@ -67,7 +67,7 @@
         const message: states.MemberMessage = { kind: states.MessageKind.Refusal, number, incarnation, reason };
         return { state, actions: [{ kind: states.ActionKind.Send, host, message }] };
     }
-    const durationMs = durations.PROMISE_MS;
+    const durationMs = state.settings.timing.promiseMs;
     const message: states.MemberMessage = { kind: states.MessageKind.Grant, number, incarnation, durationMs };
     return {
         state: { ...state, given: { ...state.given, [host]: now + durationMs } },
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -1,4 +1,5 @@
 import type * as decision from "@citronlead/decision";
+import type * as durations from "./durations.js";
 import * as records from "./records.js";
 import type * as rules from "./rules.js";
 
@@ -8,6 +9,7 @@
     readonly peerAddress: string;
     /** All partitions, in the order in which the table holds them. */
     readonly partitions: readonly string[];
+    readonly timing: durations.Timing;
     /** Rules that are left out. Only runs that show what a rule is needed for name any. */
     readonly omit?: readonly rules.Rule[];
 }
--- a/packages/membership/src/swaps.ts
+++ b/packages/membership/src/swaps.ts
@@ -110,13 +110,13 @@
 }
 
 /** A host without a lease goes on as successor for a moment: after an outage all renew their leases one after another. */
-const SUCCESSOR_GRACE_MS = 3 * durations.TAKEOVER_GRACE_MS;
+const SUCCESSOR_GRACES = 3;
 
 function usableHosts(state: states.MemberState, now: decision.Milliseconds): readonly records.HostRecord[] {
     return Object.values(state.view.hosts)
         .filter((seen) => {
             const since = state.unleasedSince[rosters.stayOf(seen.record.host, seen.created)];
-            return since === undefined || now - since < SUCCESSOR_GRACE_MS;
+            return since === undefined || now - since < SUCCESSOR_GRACES * state.settings.timing.graceMs;
         })
         .map((seen) => seen.record);
 }
--- a/packages/membership/src/takeover.ts
+++ b/packages/membership/src/takeover.ts
@@ -33,7 +33,7 @@
     const { settings, own } = state;
     const { host } = seen.record;
     const since = state.unleasedSince[roster.stayOf(host, seen.created)] ?? now;
-    if (!own || host === settings.host || now - since < durations.TAKEOVER_GRACE_MS) {
+    if (!own || host === settings.host || now - since < settings.timing.graceMs) {
         return undefined;
     }
     const { successor } = seen.record;
@@ -43,14 +43,16 @@
     if (!isNextInLine(state, host)) {
         return undefined;
     }
-    if (!successor || now - since > durations.certainTime(LONGEST_CARRIED_MS)) {
+    if (!successor || now - since > longestCarried(settings.timing)) {
         return makeTakeover(state, seen, []);
     }
     return standInFor(state, seen, successor, now);
 }
 
 /** The longest that a host can act after its lease was last renewed, in milliseconds. */
-const LONGEST_CARRIED_MS = durations.LONGEST_OUTAGE_MS + durations.SERVICE_LEASE_MS + durations.PROMISE_MS;
+function longestCarried(timing: durations.Timing): decision.Milliseconds {
+    return durations.certainTime(durations.LONGEST_OUTAGE_MS + timing.leaseMs + timing.promiseMs);
+}
 
 function promiseLapsed(state: states.MemberState, host: string, now: decision.Milliseconds): boolean {
     return now >= (state.given[host] ?? -Infinity)
@@ -71,7 +73,7 @@
 ): Takeover | undefined {
     const goneSince = state.goneSince[roster.stayOf(successor.host, successor.session)];
     const waits = rules.inForce(state.settings, rules.Rule.StandInWaits);
-    const wait = waits ? durations.certainTime(durations.PROMISE_MS) : 0;
+    const wait = waits ? durations.certainTime(state.settings.timing.promiseMs) : 0;
     if (goneSince === undefined || now - goneSince < wait) {
         return undefined;
     }
--- a/packages/membership/test/faults.ts
+++ b/packages/membership/test/faults.ts
@@ -53,7 +53,7 @@
     const running = fleet.hosts.filter((host) => host.alive && !host.left);
     const host = random.pick(running.length > 0 ? running : fleet.hosts);
     const durationMs = random.chance(LEASE_LONG_SHARE)
-        ? membership.SERVICE_LEASE_MS * (0.9 + random.fraction() / 2)
+        ? membership.DEFAULT_TIMING.leaseMs * (0.9 + random.fraction() / 2)
         : random.exponential(LONGEST_FAULT_MS / 3);
     const endsAt = fleet.now + durationMs;
     const fault = random.pick(FAULTS);
--- a/packages/membership/test/fleet.ts
+++ b/packages/membership/test/fleet.ts
@@ -62,7 +62,15 @@
     start(host: string, availabilityZone: string, peerAddress: string): void {
         const { partitions, omit } = this.options;
         const incarnation = `i${++this.starts}`;
-        const settings = { host, incarnation, availabilityZone, peerAddress, partitions, omit };
+        const settings = {
+            host,
+            incarnation,
+            availabilityZone,
+            peerAddress,
+            partitions,
+            omit,
+            timing: membership.DEFAULT_TIMING,
+        };
         const rate = 1 + (this.random.fraction() * 2 - 1) * CLOCK_RATE_SPREAD;
         const offset = this.random.integer(0, 1_000_000);
         const state = membership.startMember(settings, offset + this.now * rate);
@@ -291,7 +299,7 @@
     /** Mostly quick, now and then up to a quarter of a lease. */
     private delay(): number {
         return this.random.chance(this.options.slowShare)
-            ? this.random.fraction() * membership.SERVICE_LEASE_MS / 4
+            ? this.random.fraction() * membership.DEFAULT_TIMING.leaseMs / 4
             : QUICK_MS * (0.5 + this.random.fraction());
     }
 }
--- a/packages/router/src/membershipshell.ts
+++ b/packages/router/src/membershipshell.ts
@@ -57,8 +57,12 @@
 type HandOverListener = (partition: string, next: RosterHost) => Promise<void>;
 
 /** Starts membership. */
-export function startMembership(context: contexts.Context, links: peers.Peers): Membership {
-    return new MembershipShell(context, links).asMembership();
+export function startMembership(
+    context: contexts.Context,
+    links: peers.Peers,
+    timing: membership.Timing = membership.DEFAULT_TIMING,
+): Membership {
+    return new MembershipShell(context, links, timing).asMembership();
 }
 
 /** Turns what happens into events of the decisions, and their actions into calls and messages. */
@@ -72,14 +76,18 @@
     private whenLeft: () => void = () => undefined;
     private heldRight = false;
 
-    constructor(private readonly context: contexts.Context, private readonly links: peers.Peers) {
+    constructor(
+        private readonly context: contexts.Context,
+        private readonly links: peers.Peers,
+        timing: membership.Timing,
+    ) {
         const { settings, incarnation } = context;
         const { host, availabilityZone, peers: { address, port } } = settings;
         const peerAddress = `http://${address}:${port}`;
         const { partitions } = this;
         this.scope = context.scope.child("membership");
         this.state = membership.startMember(
-            { host, incarnation, availabilityZone, peerAddress, partitions },
+            { host, incarnation, availabilityZone, peerAddress, partitions, timing },
             context.clock(),
         );
         this.view = views.followView(
--- /dev/null
+++ b/packages/router/test/membership.test.ts
@@ -0,0 +1,167 @@
+import * as configuration from "@citronlead/configuration";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as membership from "@citronlead/membership";
+import * as platform from "@citronlead/platform";
+import * as standins from "@citronlead/standins";
+import * as testing from "@citronlead/testing";
+import * as chai from "chai";
+import * as crypto from "node:crypto";
+import * as http from "node:http";
+import type * as contexts from "../src/context.js";
+import * as logs from "../src/log.js";
+import * as memberships from "../src/membershipshell.js";
+import * as metrics from "../src/metrics.js";
+import * as peers from "../src/peers.js";
+import * as traces from "../src/trace.js";
+import * as traffic from "../src/traffic.js";
+
+const PORT_OFFSET = 400;
+const ZONES = ["braga-a", "porto-b", "gmr-c"];
+/** Short lives, so that the tests need not wait for long ones; every rule stays as it is. */
+const TIMING: membership.Timing = { leaseMs: 3_000, promiseMs: 3_000, graceMs: 200 };
+const PARTITIONS = membership.allPartitions();
+
+interface Member {
+    readonly scope: lifecycle.Lifecycle;
+    readonly membership: memberships.Membership;
+    readonly host: string;
+}
+
+function makeContext(scope: lifecycle.Lifecycle, index: number, platformPort: number): contexts.Context {
+    const service = `http://127.0.0.1:${platformPort}`;
+    const port = platformPort + 1 + index;
+    const endpoint = { address: "127.0.0.31", port };
+    const settings = configuration.routerSettingsSchema.parse({
+        host: `host-${index}`,
+        availabilityZone: ZONES[index % ZONES.length],
+        callers: endpoint,
+        peers: endpoint,
+        control: endpoint,
+        platform: { keyValue: [service], hostList: service },
+        log: { level: "silent" },
+    });
+    const incarnation = crypto.randomUUID();
+    const agent = new http.Agent({ keepAlive: true });
+    scope.own(() => agent.destroy());
+    const measured = metrics.makeMetrics();
+    return {
+        settings,
+        incarnation,
+        scope,
+        agent,
+        clock: lifecycle.monotonicClock,
+        log: logs.makeLog(settings, incarnation),
+        metrics: measured,
+        control: traffic.countControlTraffic(scope, measured.registry),
+        traces: traces.makeTraces(settings.host, 1, lifecycle.monotonicClock),
+        keyValue: platform.connectKeyValue({ addresses: [service], timeoutMs: 500, agent }),
+    };
+}
+
+async function startMember(parent: lifecycle.Lifecycle, index: number, platformPort: number): Promise<Member> {
+    const scope = parent.child(`host-${index}`);
+    const context = makeContext(scope, index, platformPort);
+    const links = await peers.openPeers(context);
+    const started = memberships.startMembership(context, links, TIMING);
+    return { scope, membership: started, host: context.settings.host };
+}
+
+async function until(what: string, condition: () => boolean, limitMs = 20_000): Promise<void> {
+    const endsAt = lifecycle.monotonicClock() + limitMs;
+    while (!condition()) {
+        chai.expect(lifecycle.monotonicClock(), what).to.be.below(endsAt);
+        await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+}
+
+function holders(members: readonly Member[], partition: string): readonly Member[] {
+    return members.filter((member) => member.membership.rightFor(partition) !== undefined);
+}
+
+function allHeldOnce(members: readonly Member[]): boolean {
+    return PARTITIONS.every((partition) => {
+        const held = holders(members, partition).length;
+        chai.expect(held, partition).to.be.at.most(1);
+        return held === 1;
+    });
+}
+
+function setFaults(platformPort: number, faults: object): Promise<unknown> {
+    const url = `http://127.0.0.1:${platformPort}/standin/faults`;
+    return fetch(url, { method: "PUT", body: JSON.stringify(faults) });
+}
+
+describe("membership of three routers", () => {
+    let scope: lifecycle.Lifecycle;
+    let offset = PORT_OFFSET;
+    let port = 0;
+    let members: Member[] = [];
+
+    beforeEach(async () => {
+        scope = new lifecycle.Lifecycle("test");
+        port = testing.testPortBase(offset);
+        offset += 10;
+        const options = { address: "127.0.0.1", port, weightRateBytesPerSecond: 1 };
+        await standins.startPlatform(scope, options);
+        members = await Promise.all([0, 1, 2].map((index) => startMember(scope, index, port)));
+        await until("all settled", () => members.every((member) => member.membership.settled()));
+        await until("all partitions held", () => allHeldOnce(members));
+    });
+    afterEach(() => scope.close());
+
+    it("gives every partition to one host, and slices of a workspace to different zones", () => {
+        const owners = [0, 1, 2].map((slice) => {
+            const partition = membership.slicePartition("guild", slice);
+            return holders(members, partition)[0]?.host;
+        });
+        chai.expect(new Set(owners).size).to.equal(3);
+    });
+
+    it("takes over what a dead host owned", async () => {
+        const [dead, ...others] = members;
+        const held = PARTITIONS.filter((partition) => dead?.membership.rightFor(partition));
+        const fencing = new Map(held.map((name) => [name, dead?.membership.rightFor(name)?.fencing ?? 0]));
+        await dead?.scope.close();
+        await until("partitions taken over", () => allHeldOnce(others));
+        for (const partition of held) {
+            const right = holders(others, partition)[0]?.membership.rightFor(partition);
+            chai.expect(right?.fencing).to.be.above(fencing.get(partition) ?? 0);
+        }
+    });
+
+    it("keeps every right while the key-value service is away for longer than a lease", async () => {
+        await setFaults(port, { outage: true });
+        const endsAt = lifecycle.monotonicClock() + 1.5 * TIMING.leaseMs;
+        while (lifecycle.monotonicClock() < endsAt) {
+            chai.expect(allHeldOnce(members)).to.equal(true);
+            await new Promise((resolve) => setTimeout(resolve, 100));
+        }
+        await setFaults(port, { outage: false });
+        await until("all settled again", () => members.every((member) => member.membership.settled()));
+        chai.expect(allHeldOnce(members)).to.equal(true);
+    });
+
+    it("hands everything over at a planned stop, after the parts of the host had their say", async () => {
+        const [leaving, ...others] = members;
+        const said: string[] = [];
+        leaving?.membership.beforeHandOver(async (partition) => {
+            chai.expect(leaving.membership.rightFor(partition)).to.equal(undefined);
+            said.push(partition);
+        });
+        const held = PARTITIONS.filter((partition) => leaving?.membership.rightFor(partition));
+        await leaving?.membership.handOver();
+        chai.expect(said.sort()).to.deep.equal([...held].sort());
+        await until("partitions handed over", () => allHeldOnce(others));
+        chai.expect(others[0]?.membership.roster().map((host) => host.host)).not.to.include(leaving?.host);
+    });
+
+    it("joins and takes its share although the first answers to its writes are lost", async () => {
+        await setFaults(port, { dropWriteAnswers: 2 });
+        const late = await startMember(scope, 3, port);
+        const all = [...members, late];
+        await until(
+            "the late host holds a share",
+            () => allHeldOnce(all) && PARTITIONS.some((partition) => late.membership.rightFor(partition) !== undefined),
+        );
+    });
+});
