--- a/packages/admission/src/borrowing.ts
+++ b/packages/admission/src/borrowing.ts
@@ -2,6 +2,7 @@
 import * as membership from "@citronlead/membership";
 import * as buckets from "./bucket.js";
 import * as messages from "./messages.js";
+import * as names from "./names.js";
 import * as serving from "./serving.js";
 import * as slices from "./slice.js";
 import * as terms from "./terms.js";
@@ -19,6 +20,9 @@
 /** When a charge that can wait longer than loans last asks the other slices again, in milliseconds. */
 const ASK_AGAIN_AFTER_MS = 1_000;
 
+/** How long a slice that had nothing to give is not asked again, in milliseconds. */
+const DRY_PERIOD_MS = 100;
+
 /** Tokens that were lent are put into the level, as far as it has room, this long before they become void. */
 const RECLAIM_MARGIN_MS = 50;
 
@@ -41,7 +45,7 @@
     const supplySoon = slices.headroom({ ...work.slice, queue: queueBefore(work.slice, entry) }, soon, work.now);
     const missing = slices.missingByDeadline(entry, work.now) - Math.max(0, supplySoon);
     const wanted = Math.max(required > 0 ? SMALLEST_LOAN_TOKENS : 0, required, missing);
-    const next = nextSlice(work.slice, entry);
+    const next = nextSlice(work.slice, entry, work.now);
     if (wanted >= SMALLEST_LOAN_TOKENS && next !== undefined) {
         ask(work, entry, next, wanted, required);
     }
@@ -69,8 +73,8 @@
     return slice.queue.slice(0, slice.queue.findIndex((waiting) => waiting.id === entry.id));
 }
 
-function nextSlice(slice: slices.SliceState, entry: slices.Waiting): number | undefined {
-    const asked = entry.asks.map((known) => known.slice);
+function nextSlice(slice: slices.SliceState, entry: slices.Waiting, now: decision.Milliseconds): number | undefined {
+    const asked = [...entry.asks.map((known) => known.slice), ...drySlices(slice, now)];
     const others = Array.from(
         { length: membership.SLICE_COUNT - 1 },
         (_, index) => (slice.index + index + 1) % membership.SLICE_COUNT,
@@ -78,11 +82,25 @@
     return others.find((other) => !asked.includes(other));
 }
 
+/** Slices that gave less than they were asked for a short while ago; asking again would cost messages for nothing. */
+function drySlices(slice: slices.SliceState, now: decision.Milliseconds): readonly number[] {
+    return slice.dry.filter((known) => now < known.until).map((known) => known.slice);
+}
+
+function noteDry(work: works.Work, transfer: messages.LevelTransfer): void {
+    if (transfer.tokens + transfer.promisedTokens >= SMALLEST_LOAN_TOKENS || transfer.part > 0) {
+        return;
+    }
+    const others = work.slice.dry.filter((known) => known.slice !== transfer.fromSlice);
+    const until = work.now + DRY_PERIOD_MS;
+    work.slice = { ...work.slice, dry: [...others, { slice: transfer.fromSlice, until }] };
+}
+
 function ask(work: works.Work, entry: slices.Waiting, slice: number, tokens: number, required: number): void {
     const transferId = work.nextTransferId();
     const open = { transferId, slice, askedAt: work.now, answered: false, promised: 0, gathered: [] };
     works.changeWaiting(work, entry.id, { ...entry, asks: [...entry.asks, open] });
-    works.send(work, { partition: membership.slicePartition(work.slice.workspace, slice) }, {
+    works.send(work, { partition: names.slicePartition(work.slice.workspace, slice) }, {
         kind: messages.MessageKind.LevelRequest,
         transferId,
         workspace: work.slice.workspace,
@@ -125,7 +143,7 @@
         id: request.transferId,
         tokens: 0,
         deadline: work.now + validMs * terms.SHORTER_ON_ANY_CLOCK,
-        replyTo: { partition: membership.slicePartition(request.workspace, request.toSlice) },
+        replyTo: { partition: names.slicePartition(request.workspace, request.toSlice) },
         asks: [],
         validMs,
         arrivedAt: work.now,
@@ -200,6 +218,7 @@
         promised: transfer.part === 0 && open.gathered.length === 0 ? transfer.promisedTokens : 0,
         gathered: [...open.gathered, gathered],
     };
+    noteDry(work, transfer);
     const changed = { ...entry, asks: entry.asks.map((candidate) => candidate === open ? next : candidate) };
     works.changeWaiting(work, entry.id, changed);
     if (slices.missingNow(changed, work.now) > work.slice.bucket.level) {
@@ -216,11 +235,17 @@
     if (leftoverTokens > 0) {
         works.changeBucket(work, (bucket) => buckets.credit(bucket, leftoverTokens));
     }
-    entry.asks.forEach((open) => acknowledge(work, open.transferId, open.slice));
+    entry.asks.filter(mayHoldRoom).forEach((open) => acknowledge(work, open.transferId, open.slice));
+}
+
+/** Whether the other slice may still hold room for an ask, or tokens that it promised. */
+function mayHoldRoom(open: slices.OpenAsk): boolean {
+    const empty = open.gathered.every((gathered) => gathered.tokens === 0);
+    return !open.answered || open.promised > 0 || open.gathered.length === 0 || !empty;
 }
 
 function acknowledge(work: works.Work, transferId: string, fromSlice: number): void {
-    works.send(work, { partition: membership.slicePartition(work.slice.workspace, fromSlice) }, {
+    works.send(work, { partition: names.slicePartition(work.slice.workspace, fromSlice) }, {
         kind: messages.MessageKind.LevelTransferAcknowledgement,
         transferId,
         workspace: work.slice.workspace,
@@ -270,6 +295,9 @@
 
 /** When something that was asked of other slices is overdue or nearly void, or may be asked again. */
 export function nextTimeout(waiting: slices.Waiting): decision.Milliseconds {
+    if (waiting.asks.length === 0) {
+        return waiting.askAgainAt ?? Infinity;
+    }
     const times = waiting.asks.flatMap((open) => [
         open.answered ? Infinity : open.askedAt + ANSWER_TIMEOUT_MS,
         open.promised > 0 ? open.askedAt + LOAN_LIMIT_MS : Infinity,
--- a/packages/admission/src/checker.ts
+++ b/packages/admission/src/checker.ts
@@ -21,7 +21,7 @@
 
 /**
  * Checks that no workspace gets more than its rate and burst over all hosts together. One virtual bucket for each
- * workspace starts full; what is spent in any window is at most burst + rate * length if and only if its level never falls
+ * workspace starts full unless told otherwise; what is spent in any window is at most burst + rate * length if and only if its level never falls
  * below zero. When terms change, the smaller of its level and the new burst remains.
  */
 export class WindowChecker {
@@ -29,11 +29,14 @@
     /** The lowest level that any workspace's virtual bucket reached, relative to its burst. */
     lowest = 1;
 
-    /** Puts terms into force for a workspace from a time on. */
-    setTerms(workspace: string, next: terms.Terms, at: decision.Milliseconds): void {
+    /**
+     * Puts terms into force for a workspace from a time on. A run in which every slice starts empty may start the virtual
+     * bucket at 0, which leaves less room for a fault to hide in.
+     */
+    setTerms(workspace: string, next: terms.Terms, at: decision.Milliseconds, startLevel = next.burstTokens): void {
         const bucket = this.buckets.get(workspace);
         if (!bucket) {
-            this.buckets.set(workspace, { level: next.burstTokens, at, terms: next });
+            this.buckets.set(workspace, { level: startLevel, at, terms: next });
             return;
         }
         this.fill(bucket, at);
--- a/packages/admission/src/events.ts
+++ b/packages/admission/src/events.ts
@@ -1,6 +1,6 @@
 import type * as decision from "@citronlead/decision";
-import * as membership from "@citronlead/membership";
 import * as messages from "./messages.js";
+import * as names from "./names.js";
 import type * as terms from "./terms.js";
 import type * as works from "./work.js";
 
@@ -89,12 +89,12 @@
     switch (message.kind) {
         case messages.MessageKind.ChargeRequest:
         case messages.MessageKind.Settlement:
-            return membership.slicePartition(message.workspace, message.slice);
+            return names.slicePartition(message.workspace, message.slice);
         case messages.MessageKind.LevelRequest:
         case messages.MessageKind.LevelTransferAcknowledgement:
-            return membership.slicePartition(message.workspace, message.fromSlice);
+            return names.slicePartition(message.workspace, message.fromSlice);
         case messages.MessageKind.LevelTransfer:
-            return membership.slicePartition(message.workspace, message.toSlice);
+            return names.slicePartition(message.workspace, message.toSlice);
         case messages.MessageKind.RevisionQuery:
         case messages.MessageKind.RevisionReply:
         case messages.MessageKind.SliceHandOver:
--- a/packages/admission/src/partition.ts
+++ b/packages/admission/src/partition.ts
@@ -100,6 +100,7 @@
         bucket: buckets.credit(buckets.emptyBucket(terms.shareOf(whole), now), handedOver),
         history: [{ revision: start.revision, terms: whole }],
         queue: [],
+        dry: [],
         records: sharded.emptyMap(),
         wakeAt: undefined,
     };
--- a/packages/admission/src/requester.ts
+++ b/packages/admission/src/requester.ts
@@ -1,8 +1,8 @@
 import type * as decision from "@citronlead/decision";
-import * as membership from "@citronlead/membership";
 import * as actions from "./actions.js";
 import type * as events from "./events.js";
 import * as messages from "./messages.js";
+import * as names from "./names.js";
 import * as sharded from "./sharded.js";
 
 /** How a request of this host stands with the owners of its workspace's slices. */
@@ -45,7 +45,7 @@
 
 const REPLY_TIMEOUT_MS = 200;
 /** How often a waiting charge is asked for, in case its owner is gone. */
-const POLL_PERIOD_MS = 500;
+const POLL_PERIOD_MS = 1_000;
 const PAUSE_MS = 100;
 const RETRY_AFTER_MS = 1_000;
 const ENDED_MEMORY_MS = 30_000;
@@ -79,7 +79,7 @@
     const timeout = Math.min(request.deadline, now + REPLY_TIMEOUT_MS);
     const slice = currentSlice(request);
     return keep(requests, { ...request, state: RequestState.Asked }, now, [
-        send({ partition: membership.slicePartition(request.workspace, slice) }, {
+        send({ partition: names.slicePartition(request.workspace, slice) }, {
             kind: messages.MessageKind.ChargeRequest,
             chargeId: chargeIdOf(request),
             workspace: request.workspace,
@@ -148,7 +148,7 @@
 
 function cancelCurrent(request: Request): actions.Action {
     const slice = currentSlice(request);
-    const to = { partition: membership.slicePartition(request.workspace, slice) };
+    const to = { partition: names.slicePartition(request.workspace, slice) };
     return cancel(to, request, chargeIdOf(request), slice);
 }
 
--- a/packages/admission/src/slice.ts
+++ b/packages/admission/src/slice.ts
@@ -51,6 +51,12 @@
     readonly toSlice: number;
 }
 
+/** A slice that had nothing to give. */
+export interface DrySlice {
+    readonly slice: number;
+    readonly until: decision.Milliseconds;
+}
+
 /** One workspace's slice at its owner. */
 export interface SliceState {
     readonly workspace: string;
@@ -60,6 +66,8 @@
     readonly history: readonly terms.RevisionTerms[];
     /** Earliest deadline first. */
     readonly queue: readonly Waiting[];
+    /** Slices that had nothing to give, and until when they are not asked again. */
+    readonly dry: readonly DrySlice[];
     readonly records: sharded.ShardedMap<charges.ChargeRecord>;
     /** When this slice needs an event next. */
     readonly wakeAt: decision.Milliseconds | undefined;
@@ -70,10 +78,13 @@
 
 /** What a waiting charge has gathered from other slices and may still spend, in tokens. */
 export function gatheredTokens(waiting: Waiting, now: decision.Milliseconds): number {
-    return waiting.asks
-        .flatMap((ask) => ask.gathered)
-        .filter((gathered) => now < gathered.validUntil)
-        .reduce((sum, gathered) => sum + gathered.tokens, 0);
+    let sum = 0;
+    for (const ask of waiting.asks) {
+        for (const gathered of ask.gathered) {
+            sum += now < gathered.validUntil ? gathered.tokens : 0;
+        }
+    }
+    return sum;
 }
 
 /** What a waiting entry needs from its own slice now, in tokens. */
@@ -83,8 +94,11 @@
 
 /** What a waiting entry needs from its own slice by its deadline, if all promises are kept, in tokens. */
 export function missingByDeadline(waiting: Waiting, now: decision.Milliseconds): number {
-    const promised = waiting.asks.reduce((sum, ask) => sum + ask.promised, 0);
-    return Math.max(0, missingNow(waiting, now) - promised);
+    let missing = missingNow(waiting, now);
+    for (const ask of waiting.asks) {
+        missing -= ask.promised;
+    }
+    return Math.max(0, missing);
 }
 
 /**
