--- a/packages/admission/src/borrowing.ts
+++ b/packages/admission/src/borrowing.ts
@@ -295,15 +295,22 @@
 
 /** When something that was asked of other slices is overdue or nearly void, or may be asked again. */
 export function nextTimeout(waiting: slices.Waiting): decision.Milliseconds {
-    if (waiting.asks.length === 0) {
-        return waiting.askAgainAt ?? Infinity;
+    let earliest = waiting.askAgainAt ?? Infinity;
+    for (const open of waiting.asks) {
+        earliest = Math.min(earliest, askTimeout(open));
     }
-    const times = waiting.asks.flatMap((open) => [
-        open.answered ? Infinity : open.askedAt + ANSWER_TIMEOUT_MS,
-        open.promised > 0 ? open.askedAt + LOAN_LIMIT_MS : Infinity,
-        ...open.gathered.filter((gathered) => gathered.tokens > 0).map((gathered) =>
-            gathered.validUntil - RECLAIM_MARGIN_MS
-        ),
-    ]);
-    return Math.min(waiting.askAgainAt ?? Infinity, ...times);
+    return earliest;
+}
+
+function askTimeout(open: slices.OpenAsk): decision.Milliseconds {
+    let earliest = open.answered ? Infinity : open.askedAt + ANSWER_TIMEOUT_MS;
+    if (open.promised > 0) {
+        earliest = Math.min(earliest, open.askedAt + LOAN_LIMIT_MS);
+    }
+    for (const gathered of open.gathered) {
+        if (gathered.tokens > 0) {
+            earliest = Math.min(earliest, gathered.validUntil - RECLAIM_MARGIN_MS);
+        }
+    }
+    return earliest;
 }
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -5,5 +5,6 @@
 export * from "./messages.js";
 export * from "./module.js";
 export * from "./order.js";
+export { isSlicePartition } from "./partition.js";
 export type { Terms } from "./terms.js";
 export type { Right } from "./work.js";
--- a/packages/admission/src/owner.ts
+++ b/packages/admission/src/owner.ts
@@ -230,8 +230,7 @@
 ): OwnerStep {
     const { message, right } = event;
     if (message.kind === messages.MessageKind.SliceHandOver) {
-        const handOvers = new Map(state.handOvers).set(partition, message);
-        return { state: { ...state, handOvers }, actions: [] };
+        return takeHandOver(state, partition, message, now);
     }
     const known = state.partitions.get(partition);
     if (known && message.kind === messages.MessageKind.LevelTransferAcknowledgement) {
@@ -253,6 +252,21 @@
     return putPartition(state, spend(known, event, right, now), now);
 }
 
+/** Keeps levels for the term that follows, or adds them to it if it has started and has not acted yet. */
+function takeHandOver(
+    state: OwnerState,
+    partition: string,
+    message: messages.SliceHandOver,
+    now: decision.Milliseconds,
+): OwnerStep {
+    const known = state.partitions.get(partition);
+    if (known && message.fencing + 1 === known.fencing) {
+        return putPartition(state, { state: partitions.takeLevels(known, message.levels), actions: [] }, now);
+    }
+    const handOvers = new Map(state.handOvers).set(partition, message);
+    return { state: { ...state, handOvers }, actions: [] };
+}
+
 /** Answers a charge that this host cannot decide, so that its sender tries another slice at once. */
 function notOwner(event: events.Arrival): readonly actions.Action[] {
     return event.message.kind === messages.MessageKind.ChargeRequest
--- a/packages/admission/src/partition.ts
+++ b/packages/admission/src/partition.ts
@@ -27,6 +27,8 @@
     readonly askSiblingsAt: decision.Milliseconds | undefined;
     readonly slices: ReadonlyMap<string, slices.SliceState>;
     readonly transferCount: number;
+    /** Whether the former owner's levels were taken over; they count once. */
+    readonly levelsTaken: boolean;
     /** Whether the partition is about to be handed over. */
     readonly leaving: boolean;
     /** The host that the partition goes to. */
@@ -56,6 +58,11 @@
     return own === undefined ? undefined : Number(own);
 }
 
+/** Whether a name is that of a partition of slices. */
+export function isSlicePartition(name: string): boolean {
+    return PARTITION_NAME.test(name);
+}
+
 /** What a partition starts its term with. */
 export interface TermStart {
     readonly partition: string;
@@ -81,6 +88,7 @@
         askSiblingsAt: undefined,
         slices: made,
         transferCount: 0,
+        levelsTaken: start.levels.length > 0,
         wakeAt: undefined,
         leaving: false,
     };
@@ -106,6 +114,21 @@
     };
 }
 
+/** Adds the levels that a former owner handed over, unless the term has acted or has taken them already. */
+export function takeLevels(state: PartitionState, levels: readonly messages.SliceLevel[]): PartitionState {
+    if (state.active || state.levelsTaken) {
+        return state;
+    }
+    const credited = new Map(state.slices);
+    for (const { workspace, tokens } of levels) {
+        const slice = credited.get(workspace);
+        if (slice) {
+            credited.set(workspace, { ...slice, bucket: buckets.credit(slice.bucket, tokens) });
+        }
+    }
+    return { ...state, slices: credited, levelsTaken: true };
+}
+
 /** The newest revision that the owner knows. */
 export function newestRevision(state: PartitionState): number {
     return state.revisions.at(-1) ?? 0;
