Resolve lost answers of operation records; let runs outlive their callers

Cause: a lost answer of the create was taken for a record of another, final writes were tried once, a caller who hung up cut its own run off, and calls on kept-open connections had unknown outcomes without need. Ruled out: resolving a lost create by a read (a create that arrives after the read still takes effect).

--- a/packages/router/src/operationsshell.ts
+++ b/packages/router/src/operationsshell.ts
@@ -1,35 +1,28 @@
 import * as decision from "@citronlead/decision";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as decisions from "@citronlead/operations";
 import * as platform from "@citronlead/platform";
 import * as crypto from "node:crypto";
+import * as pQueue from "p-queue";
 import type * as callerRequests from "./callerrequest.js";
 import type * as contexts from "./context.js";
+import * as modelpath from "./modelpath.js";
+import * as operationsLease from "./operationslease.js";
 import * as refusals from "./refusal.js";
 
-/** A whole answer as it is kept for later calls with the same idempotency key. */
-export interface StoredAnswer {
-    readonly status: number;
-    readonly contentType: string;
-    /** The body in base64. */
-    readonly body: string;
-}
-
-/** The kinds of run result. */
-export enum RunKind {
-    Answered = "answered",
-    /** The call certainly did not run. */
-    NotRun = "not-run",
-    /** The call may have run. */
-    Unknown = "unknown",
-}
+export { RunKind, type StoredAnswer } from "@citronlead/operations";
 
 /** How one try of a call at an upstream ended. */
 export type RunResult =
-    | { readonly kind: RunKind.Answered; readonly answer: StoredAnswer; }
-    | { readonly kind: RunKind.NotRun | RunKind.Unknown; readonly refusal: refusals.Refusal; };
+    | { readonly kind: decisions.RunKind.Answered; readonly answer: decisions.StoredAnswer; }
+    | {
+        readonly kind: decisions.RunKind.NotRun | decisions.RunKind.Unknown;
+        readonly refusal: refusals.Refusal;
+    };
 
 /** The final outcome of a call that runs at most once. */
 export type OperationOutcome =
-    | { readonly answered: true; readonly answer: StoredAnswer; readonly replayed: boolean; }
+    | { readonly answered: true; readonly answer: decisions.StoredAnswer; readonly replayed: boolean; }
     | { readonly answered: false; readonly refusal: refusals.Refusal; };
 
 /** What names an operation. */
@@ -44,109 +37,231 @@
 
 /** Runs calls at most once over all hosts. */
 export interface Operations {
-    /** Runs the call unless a call with the same key did or may have; then its answer or its state is given. */
+    /**
+     * Runs the call unless a call with the same key did or may have; then its answer or its state is given. The run
+     * goes on after its caller has left, so that a repeat finds the answer.
+     */
     readonly runOnce: (wish: OperationWish, run: () => Promise<RunResult>) => Promise<OperationOutcome>;
 }
 
-enum State {
-    Claimed = "claimed",
-    Done = "done",
-    NotRun = "not-run",
-    Unknown = "unknown",
-}
-
-interface OperationRecord {
-    readonly state: State;
-    readonly attempt: string;
-    readonly contentHash: string;
-    readonly answer?: StoredAnswer;
-}
-
-const RETRY_AFTER_MS = 1_000;
+const LEASE_TRIES = 3;
+const LEASE_PAUSE_MS = 200;
+const OUTAGE_RETRY_AFTER_MS = 5_000;
+/** How long a stop waits for the records of calls that have their answer. */
+const STOP_PATIENCE_MS = 5_000;
+/** Writes of calls that have their answer already; one at a time, so that the end of an outage brings no rush. */
+const BACKGROUND_WRITES = 1;
+/** Above this number of calls whose end is still to be written, the record of the next one is left as it is. */
+const BACKGROUND_LIMIT = 2_000;
 
 /** Starts the record of operations. */
 export function startOperations(context: contexts.Context): Operations {
+    const scope = new lifecycle.Lifecycle("operations");
+    const leases = new operationsLease.RecordLeases(context);
+    const background = new pQueue.default({ concurrency: BACKGROUND_WRITES });
+    const open = new Set<OpenCall>();
+    context.scope.own(async () => {
+        const settled = Promise.all([...open].map((call) => call.ended));
+        await Promise.race([settled, lifecycle.pause(scope, STOP_PATIENCE_MS)]);
+        await scope.close();
+    });
     return {
         runOnce: async (wish, run) => {
-            const attempt = crypto.randomUUID();
-            const key = recordKey(wish);
-            const claim: OperationRecord = { state: State.Claimed, attempt, contentHash: wish.contentHash };
-            const revision = await create(context, key, claim);
-            if (revision === undefined) {
-                return answerFromRecord(context, wish, key);
+            const lease = await obtainLease(scope, leases, wish.request.signal);
+            if (!lease) {
+                return { answered: false, refusal: refusalOf(wish, recordUnavailable) };
             }
-            const result = await run();
-            await write(context, key, revision, { ...claim, ...resultFields(result) });
-            return result.kind === RunKind.Answered
-                ? { answered: true, answer: result.answer, replayed: false }
-                : { answered: false, refusal: result.refusal };
+            const call = new OpenCall({ context, scope, background, wish, run, lease });
+            open.add(call);
+            void call.ended.then(() => open.delete(call));
+            return call.begin();
         },
     };
 }
 
-function recordKey(wish: OperationWish): string {
-    const digest = crypto.createHash("sha256").update(wish.idempotencyKey).digest("hex");
-    return `/citronlead/operations/${wish.workspace}/${wish.service}/${digest}`;
-}
+type Refuse = Extract<decisions.CallAction, { kind: decisions.CallActionKind.Refuse; }>;
 
-function resultFields(result: RunResult): Pick<OperationRecord, "state" | "answer"> {
-    switch (result.kind) {
-        case RunKind.Answered:
-            return { state: State.Done, answer: result.answer };
-        case RunKind.NotRun:
-            return { state: State.NotRun };
-        case RunKind.Unknown:
-            return { state: State.Unknown };
-    }
-}
+const recordUnavailable: Refuse = {
+    kind: decisions.CallActionKind.Refuse,
+    cause: decisions.RefusalCause.RecordUnavailable,
+    mayHaveRun: false,
+    retryAfterMs: OUTAGE_RETRY_AFTER_MS,
+};
 
-/** Creates the record. Returns its revision, or undefined if it is there already or the service did not answer. */
-async function create(context: contexts.Context, key: string, record: OperationRecord): Promise<number | undefined> {
-    const outcome = await write(context, key, 0, record);
-    if (outcome.effect === decision.Effect.Known) {
-        return outcome.value.succeeded ? outcome.value.revision : undefined;
+async function obtainLease(
+    scope: lifecycle.Lifecycle,
+    leases: operationsLease.RecordLeases,
+    signal: AbortSignal,
+): Promise<operationsLease.RecordLease | undefined> {
+    for (let tries = 0; tries < LEASE_TRIES && !signal.aborted; tries++) {
+        const lease = await leases.current();
+        if (lease) {
+            return lease;
+        }
+        await lifecycle.pause(scope, LEASE_PAUSE_MS);
     }
-    const read = await context.keyValue.read(key);
-    const entry = read.effect === decision.Effect.Known ? read.value.entries[0] : undefined;
-    return entry && parse(entry.value).attempt === record.attempt ? entry.modRevision : undefined;
+    return undefined;
 }
 
-function write(
-    context: contexts.Context,
-    key: string,
-    modRevision: number,
-    record: OperationRecord,
-): Promise<decision.Outcome<platform.Swap>> {
-    const change: platform.Change = { kind: platform.ChangeKind.Put, key, value: JSON.stringify(record) };
-    return context.keyValue.swap([{ key, modRevision }], [change]);
+interface CallParts {
+    readonly context: contexts.Context;
+    readonly scope: lifecycle.Lifecycle;
+    readonly background: pQueue.default;
+    readonly wish: OperationWish;
+    readonly run: () => Promise<RunResult>;
+    readonly lease: operationsLease.RecordLease;
 }
 
-async function answerFromRecord(
-    context: contexts.Context,
-    wish: OperationWish,
-    key: string,
-): Promise<OperationOutcome> {
-    const outcome = await context.keyValue.read(key);
-    const entry = outcome.effect === decision.Effect.Known ? outcome.value.entries[0] : undefined;
-    if (!entry) {
-        const message = "the record of operations is out of reach";
-        return {
-            answered: false,
-            refusal: refusals.notRun(refusals.Reason.RecordUnavailable, message, RETRY_AFTER_MS),
-        };
+/** One call from its arrival until its record says how it ended. */
+class OpenCall {
+    readonly ended: Promise<void>;
+    private state: decisions.CallState;
+    private finish: () => void = () => undefined;
+    private give: (outcome: OperationOutcome) => void = () => undefined;
+    private runRefusal: refusals.Refusal | undefined;
+    private readonly key: string;
+
+    constructor(private readonly parts: CallParts) {
+        const { context, wish, lease } = parts;
+        this.key = recordKey(wish);
+        this.ended = new Promise((resolve) => this.finish = resolve);
+        this.state = decisions.operationModule.start({
+            attempt: crypto.randomUUID(),
+            contentHash: wish.contentHash,
+            deadline: wish.request.deadline,
+            leaseEndsAt: lease.endsAt,
+        }, context.clock());
+    }
+
+    begin(): Promise<OperationOutcome> {
+        const { signal } = this.parts.wish.request;
+        const given = new Promise<OperationOutcome>((resolve) => this.give = resolve);
+        const left = () => this.tell({ kind: decisions.CallEventKind.CallerLeft });
+        signal.addEventListener("abort", left, { once: true });
+        void this.ended.then(() => signal.removeEventListener("abort", left));
+        this.tell({ kind: decisions.CallEventKind.Begin });
+        if (signal.aborted) {
+            left();
+        }
+        return given;
     }
-    const record = parse(entry.value);
-    if (record.contentHash !== wish.contentHash) {
-        const message = "another call used this idempotency key";
-        return { answered: false, refusal: refusals.notRun(refusals.Reason.IdempotencyConflict, message) };
+
+    private tell(event: decisions.CallEvent): void {
+        const next = decisions.operationModule.decide(this.state, event, this.parts.context.clock());
+        this.state = next.state;
+        next.actions.forEach((action) => this.carryOut(action));
     }
-    if (record.state === State.Done && record.answer) {
-        return { answered: true, answer: record.answer, replayed: true };
+
+    private carryOut(action: decisions.CallAction): void {
+        const { wish, scope } = this.parts;
+        switch (action.kind) {
+            case decisions.CallActionKind.Swap:
+                return void this.swap(action.expectedRevision, action.record);
+            case decisions.CallActionKind.Read:
+                return void this.read();
+            case decisions.CallActionKind.Run:
+                return void this.run();
+            case decisions.CallActionKind.Wake:
+                lifecycle.after(scope, action.afterMs, () => this.tell({ kind: decisions.CallEventKind.Woken }));
+                return;
+            case decisions.CallActionKind.Answer:
+                wish.request.note("operations", action.replayed ? "stored answer" : "answered");
+                return this.give({ answered: true, answer: action.answer, replayed: action.replayed });
+            case decisions.CallActionKind.Refuse:
+                wish.request.note("operations", "refused", { cause: action.cause, mayHaveRun: action.mayHaveRun });
+                return this.give({ answered: false, refusal: refusalOf(wish, action, this.runRefusal) });
+            case decisions.CallActionKind.End:
+                return this.finish();
+        }
+    }
+
+    private async swap(expectedRevision: number, record: decisions.OperationRecord): Promise<void> {
+        const { context, background, lease } = this.parts;
+        const write = () =>
+            context.keyValue.swap([{ key: this.key, modRevision: expectedRevision }], [{
+                kind: platform.ChangeKind.Put,
+                key: this.key,
+                value: decisions.writeRecord(record),
+                lease: lease.id,
+            }]);
+        if (this.state.answered && background.size >= BACKGROUND_LIMIT) {
+            this.finish();
+            return;
+        }
+        const outcome = await (this.state.answered ? background.add(write) : write());
+        if (outcome.effect === decision.Effect.Known) {
+            const { succeeded, revision, current } = outcome.value;
+            this.tell({
+                kind: decisions.CallEventKind.Swapped,
+                succeeded,
+                revision,
+                current: versioned(current[0]),
+            });
+        }
+        else {
+            this.tell({ kind: decisions.CallEventKind.SwapLost, reached: outcome.effect === decision.Effect.Unknown });
+        }
+    }
+
+    private async read(): Promise<void> {
+        const outcome = await this.parts.context.keyValue.read(this.key);
+        this.tell(
+            outcome.effect === decision.Effect.Known
+                ? { kind: decisions.CallEventKind.Read, current: versioned(outcome.value.entries[0]) }
+                : { kind: decisions.CallEventKind.ReadLost },
+        );
+    }
+
+    private async run(): Promise<void> {
+        const result = await this.parts.run();
+        if (result.kind === decisions.RunKind.Answered) {
+            this.tell({ kind: decisions.CallEventKind.RunEnded, result: result.kind, answer: result.answer });
+            return;
+        }
+        const saysNotRun = result.refusal.ran === refusals.Ran.No;
+        decision.invariant(
+            saysNotRun === (result.kind === decisions.RunKind.NotRun),
+            "a refusal says whether its call ran",
+        );
+        this.runRefusal = result.refusal;
+        this.tell({ kind: decisions.CallEventKind.RunEnded, result: result.kind });
     }
-    const message = `a call with this idempotency key is ${record.state}`;
-    return { answered: false, refusal: refusals.mayHaveRun(refusals.Reason.OutcomeUnknown, message, RETRY_AFTER_MS) };
 }
 
-function parse(value: string): OperationRecord {
-    return JSON.parse(value) as OperationRecord;
+function recordKey(wish: OperationWish): string {
+    const digest = crypto.createHash("sha256").update(wish.idempotencyKey).digest("hex");
+    return `/citronlead/operations/${wish.workspace}/${wish.service}/${digest}`;
+}
+
+function versioned(entry: platform.Entry | undefined): decisions.VersionedRecord | undefined {
+    return entry && { record: decisions.readRecord(entry.value), modRevision: entry.modRevision };
+}
+
+function refusalOf(wish: OperationWish, action: Refuse, runRefusal?: refusals.Refusal): refusals.Refusal {
+    const { RefusalCause } = decisions;
+    switch (action.cause) {
+        case RefusalCause.RecordUnavailable: {
+            const message = "this call was not sent: the record of operations is out of reach";
+            return refusals.notRun(refusals.Reason.RecordUnavailable, message, action.retryAfterMs);
+        }
+        case RefusalCause.Conflict: {
+            const message = "this call was not sent: another content has this idempotency key";
+            return refusals.notRun(refusals.Reason.IdempotencyConflict, message);
+        }
+        case RefusalCause.OutcomeUnknown: {
+            const message = "a call with this idempotency key may have run";
+            return refusals.mayHaveRun(refusals.Reason.OutcomeUnknown, message, action.retryAfterMs);
+        }
+        case RefusalCause.AnswerNotKept: {
+            const message = "a call with this idempotency key ran; its answer was too large to keep";
+            return refusals.mayHaveRun(refusals.Reason.OutcomeUnknown, message);
+        }
+        case RefusalCause.CallerLeft: {
+            const ran = action.mayHaveRun ? refusals.Ran.Unknown : refusals.Ran.No;
+            return { ...modelpath.abortRefusal(wish.request), ran };
+        }
+        case RefusalCause.RunFailed:
+            decision.invariant(runRefusal !== undefined, "a run that failed has its refusal");
+            return runRefusal;
+    }
 }
--- a/packages/router/src/servicepath.ts
+++ b/packages/router/src/servicepath.ts
@@ -2,14 +2,25 @@
 import * as decision from "@citronlead/decision";
 import * as upstream from "@citronlead/upstream";
 import * as crypto from "node:crypto";
+import * as http from "node:http";
 import type * as callerRequests from "./callerrequest.js";
 import * as modelpath from "./modelpath.js";
 import * as operations from "./operationsshell.js";
 import type * as parts from "./parts.js";
+import * as quarantines from "./quarantineshell.js";
 import * as refusals from "./refusal.js";
 
 const ANSWER_LIMIT_BYTES = 4 * 1024 * 1024;
-const IDEMPOTENT_TRIES = 3;
+/** How many upstreams are tried for one call while none has run it. */
+const TRIES = 3;
+/** How long a call with an idempotency key may run on after its deadline, so that a repeat finds its answer. */
+const RUN_ON_MS = 30 * decision.SECOND_MS;
+
+/**
+ * Calls that may not be repeated get a connection of their own: on one that was kept open, an upstream that closes it
+ * meanwhile leaves open whether the call ran.
+ */
+const freshConnections = new http.Agent({ keepAlive: false });
 
 /** Serves one call to a plain service. Calls that are not idempotent run at most once. */
 export function serveService(
@@ -17,12 +28,9 @@
     request: callerRequests.CallerRequest,
     service: configuration.Service,
 ): Promise<operations.OperationOutcome> {
-    if (service.idempotent) {
-        return serveIdempotent(served, request, service);
-    }
     const idempotencyKey = request.headers["idempotency-key"];
-    if (typeof idempotencyKey !== "string" || idempotencyKey === "") {
-        return toOutcome(runOnUpstream(served, request, service, []));
+    if (service.idempotent || typeof idempotencyKey !== "string" || idempotencyKey === "") {
+        return toOutcome(runOnUpstreams(served, request, service));
     }
     const wish: operations.OperationWish = {
         workspace: request.credential?.workspace ?? "",
@@ -31,27 +39,39 @@
         contentHash: hashContent(request),
         request,
     };
-    return served.operations.runOnce(wish, () => runOnUpstream(served, request, service, []));
+    const running = { ...request, signal: new AbortController().signal, deadline: request.deadline + RUN_ON_MS };
+    return served.operations.runOnce(wish, () => runOnUpstreams(served, running, service));
 }
 
-async function serveIdempotent(
+/** Tries upstreams until one has or may have run the call; an idempotent call goes on after that. */
+async function runOnUpstreams(
     served: parts.Parts,
     request: callerRequests.CallerRequest,
     service: configuration.Service,
-): Promise<operations.OperationOutcome> {
+): Promise<operations.RunResult> {
+    const fingerprint = hashContent(request);
     const avoid: string[] = [];
-    let outcome = await toOutcome(runOnUpstream(served, request, service, avoid));
-    for (let tries = 1; tries < IDEMPOTENT_TRIES && !outcome.answered && mayTryAgain(request, outcome); tries++) {
-        outcome = await toOutcome(runOnUpstream(served, request, service, avoid));
+    let mayHaveRun = false;
+    for (let tries = 1;; tries++) {
+        const result = withDoubt(await runOnUpstream(served, request, service, fingerprint, avoid), mayHaveRun);
+        mayHaveRun ||= result.kind !== operations.RunKind.NotRun;
+        if (tries === TRIES || request.signal.aborted || !mayTryAgain(service, result)) {
+            return result;
+        }
     }
-    return outcome;
 }
 
-function mayTryAgain(
-    request: callerRequests.CallerRequest,
-    outcome: Extract<operations.OperationOutcome, { answered: false; }>,
-): boolean {
-    return !request.signal.aborted && outcome.refusal.reason === refusals.Reason.UpstreamFailed;
+function mayTryAgain(service: configuration.Service, result: operations.RunResult): boolean {
+    return result.kind !== operations.RunKind.Answered
+        && result.refusal.reason === refusals.Reason.UpstreamFailed
+        && (service.idempotent || result.kind === operations.RunKind.NotRun);
+}
+
+/** A refusal after a try that may have run says so. */
+function withDoubt(result: operations.RunResult, mayHaveRun: boolean): operations.RunResult {
+    return result.kind === operations.RunKind.NotRun && mayHaveRun
+        ? { kind: operations.RunKind.Unknown, refusal: { ...result.refusal, ran: refusals.Ran.Unknown } }
+        : result;
 }
 
 async function toOutcome(running: Promise<operations.RunResult>): Promise<operations.OperationOutcome> {
@@ -74,8 +94,15 @@
     served: parts.Parts,
     request: callerRequests.CallerRequest,
     service: configuration.Service,
+    fingerprint: string,
     avoid: string[],
 ): Promise<operations.RunResult> {
+    const verdict = served.quarantine.verdict(fingerprint);
+    if (verdict.standing === quarantines.Standing.Quarantined) {
+        const message = "this call made upstreams crash";
+        const refusal = refusals.notRun(refusals.Reason.Quarantined, message, verdict.remainingMs);
+        return { kind: operations.RunKind.NotRun, refusal };
+    }
     const usable = served.upstreams.usable(service.pool).filter((candidate) => !avoid.includes(candidate.name));
     const target = usable[Math.floor(served.context.clock()) % Math.max(1, usable.length)];
     if (!target) {
@@ -90,12 +117,15 @@
         headers: upstream.cleanHeaders(request.headers, request.credential?.key),
         body: request.body,
         timeoutMs: Math.max(1, request.deadline - served.context.clock()),
-        agent: served.context.agent,
+        agent: service.idempotent ? served.context.agent : freshConnections,
         signal: request.signal,
         answerLimit: ANSWER_LIMIT_BYTES,
     });
     served.context.metrics.upstreamCalls.inc({ call: "service", result: outcome.result });
     request.note(target.name, `call ${outcome.result}`);
+    if (outcome.result === upstream.CallResult.Broken && !request.signal.aborted) {
+        served.quarantine.noteBreak(fingerprint, target.name, request.requestId);
+    }
     return judge(served, request, target.name, avoid, outcome);
 }
 
@@ -125,7 +155,9 @@
         case upstream.CallResult.Unreachable: {
             avoid.push(name);
             const message = "the upstream cannot be reached";
-            const refusal = refusals.notRun(refusals.Reason.UpstreamFailed, message, decision.SECOND_MS);
+            const refusal = request.signal.aborted
+                ? { ...modelpath.abortRefusal(request), ran: refusals.Ran.No }
+                : refusals.notRun(refusals.Reason.UpstreamFailed, message, decision.SECOND_MS);
             return { kind: RunKind.NotRun, refusal };
         }
         case upstream.CallResult.Broken: {
--- /dev/null
+++ b/packages/router/test/operationsfixture.ts
@@ -0,0 +1,221 @@
+import * as configuration from "@citronlead/configuration";
+import * as decision from "@citronlead/decision";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as platform from "@citronlead/platform";
+import * as standins from "@citronlead/standins";
+import * as http from "node:http";
+import * as router from "../src/index.js";
+
+const ADDRESS = "127.0.0.31";
+const PORTS_PER_HOST = 3;
+
+const FLEET = `
+fleet: test
+region: test
+availabilityZones: [zone-a, zone-b, zone-c]
+zoneDelay: 0.5ms
+callerDelay: 1ms
+profiles:
+  counter:
+    priority: 0
+    firstTokenTarget: 500ms
+    betweenTokensTarget: 100ms
+    deadline: 8s
+    workspaces:
+      guild: { tokensPerSecond: 100000, burstTokens: 400000 }
+      workshop: { tokensPerSecond: 100000, burstTokens: 400000 }
+pools:
+  counter: { kind: service, concurrentCalls: 100 }
+services:
+  - { name: orders, pool: counter, profile: counter, pathPrefix: /orders, methods: [POST], idempotent: false }
+  - { name: stock, pool: counter, profile: counter, pathPrefix: /stock, methods: [GET, POST], idempotent: true }
+  - { name: notices, pool: counter, profile: counter, pathPrefix: /notices, methods: [GET], idempotent: true, open: true }
+`;
+
+/** What a caller received. */
+export interface Received {
+    readonly status: number;
+    readonly headers: http.IncomingHttpHeaders;
+    readonly text: string;
+}
+
+/** What a caller sends. */
+export interface Sent {
+    readonly method?: string;
+    readonly path: string;
+    readonly body?: string;
+    readonly headers?: http.OutgoingHttpHeaders;
+    readonly signal?: AbortSignal;
+}
+
+/** A refusal's body, as far as tests look at it. */
+export interface RefusalBody {
+    readonly error: { readonly reason: string; readonly ran: string; readonly retryAfterMs?: number; };
+}
+
+/** Routers with a platform and one plain service around them, all in this process. */
+export class Fixture {
+    readonly scope = new lifecycle.Lifecycle("fixture");
+    readonly key = configuration.makeKey();
+    readonly routers: router.Router[] = [];
+    platformAddress = "";
+    serviceAddress = "";
+    keyValue!: platform.KeyValue;
+    private current!: configuration.Configuration;
+    private modRevision = 0;
+
+    constructor(private readonly portBase: number, private readonly hosts: number) {}
+
+    async start(): Promise<void> {
+        const at = (port: number) => ({ address: ADDRESS, port });
+        const listening = await standins.startPlatform(this.scope, { ...at(0), weightRateBytesPerSecond: 1e9 });
+        this.platformAddress = listening.address;
+        this.keyValue = platform.connectKeyValue({ addresses: [listening.address], timeoutMs: 1_000 });
+        const service = await standins.startService(this.scope, {
+            ...at(0),
+            name: "counter-1",
+            crash: () => undefined,
+        });
+        this.serviceAddress = service.address;
+        await this.list("counter-1", service.address);
+        const fleet = configuration.parseFleet("fleet", FLEET);
+        if (!fleet.valid) {
+            throw new Error(JSON.stringify(fleet));
+        }
+        const keys = [{ id: "first", workspace: "guild", hash: configuration.hashKey(this.key) }];
+        await this.apply({ revision: 1, fleet: fleet.value, text: FLEET, keys });
+        for (let index = 0; index < this.hosts; index++) {
+            this.routers.push(await router.startRouter(this.settings(index)));
+        }
+        await until("all routers ready", async () => {
+            const statuses = await Promise.all(this.routers.map((_, index) => this.status(index)));
+            return statuses.every((status) =>
+                status.settled && status.ready && status.pools[0]?.upstreams.length === 1
+            );
+        });
+    }
+
+    async stop(): Promise<void> {
+        await Promise.all(this.routers.map((running) => running.stop()));
+        await this.scope.close();
+    }
+
+    /** Puts a configuration in place of the one that was applied before. */
+    async apply(next: configuration.Configuration): Promise<void> {
+        const outcome = await router.swapConfiguration(this.keyValue, next, this.modRevision);
+        if (outcome.effect !== decision.Effect.Known || !outcome.value.succeeded) {
+            throw new Error(`not applied: ${JSON.stringify(outcome)}`);
+        }
+        this.current = next;
+        this.modRevision = outcome.value.revision;
+    }
+
+    /** Withdraws the key that the fixture was started with. */
+    withdraw(): Promise<void> {
+        return this.apply({ ...this.current, revision: this.current.revision + 1, keys: [] });
+    }
+
+    async list(name: string, address: string): Promise<void> {
+        const row = { name, pool: "counter", address, availabilityZone: "zone-a", state: "live" };
+        await order(`${this.platformAddress}/hosts`, row);
+    }
+
+    platformFaults(faults: Partial<standins.PlatformFaults>): Promise<void> {
+        return order(`${this.platformAddress}/standin/faults`, faults);
+    }
+
+    serviceFaults(faults: Partial<standins.ServiceFaults>): Promise<void> {
+        return order(`${this.serviceAddress}/standin/faults`, faults);
+    }
+
+    /** The calls that the service ran, as it received them. */
+    async runs(): Promise<readonly { readonly path: string; readonly headers: object; readonly body: string; }[]> {
+        const answer = await (await fetch(`${this.serviceAddress}/standin/runs`)).json() as { runs: []; };
+        return answer.runs;
+    }
+
+    async status(host: number): Promise<{
+        readonly revision: number;
+        readonly settled: boolean;
+        readonly ready: boolean;
+        readonly keysUsable: boolean;
+        readonly pools: readonly { readonly upstreams: readonly unknown[]; }[];
+    }> {
+        const { control } = this.settings(host);
+        const answer = await fetch(`http://${control.address}:${control.port}/status`);
+        return await answer.json() as Awaited<ReturnType<Fixture["status"]>>;
+    }
+
+    /** Sends a call with the key to a host. */
+    send(host: number, sent: Sent): Promise<Received> {
+        const { callers } = this.settings(host);
+        const body = Buffer.from(sent.body ?? "");
+        return new Promise((resolve, reject) => {
+            const request = http.request({
+                host: callers.address,
+                port: callers.port,
+                path: sent.path,
+                method: sent.method ?? "POST",
+                headers: { "authorization": `Bearer ${this.key}`, ...sent.headers, "content-length": body.length },
+                signal: sent.signal,
+                agent: false,
+            }, (response) => {
+                const pieces: Buffer[] = [];
+                response.on("data", (piece: Buffer) => pieces.push(piece));
+                response.on("error", reject);
+                response.on("end", () =>
+                    resolve({
+                        status: response.statusCode ?? 0,
+                        headers: response.headers,
+                        text: Buffer.concat(pieces).toString("utf8"),
+                    }));
+            });
+            request.on("error", reject);
+            request.end(body);
+        });
+    }
+
+    /** Sends an order with an idempotency key to a host. */
+    order(host: number, idempotencyKey: string, body: string = "{}", signal?: AbortSignal): Promise<Received> {
+        return this.send(host, { path: "/orders/new", body, headers: { "idempotency-key": idempotencyKey }, signal });
+    }
+
+    private settings(index: number): configuration.RouterSettings {
+        const port = this.portBase + index * PORTS_PER_HOST;
+        const text = `
+host: host-${index}
+availabilityZone: zone-${"abc"[index % 3]}
+callers: { address: ${ADDRESS}, port: ${port} }
+peers: { address: ${ADDRESS}, port: ${port + 1} }
+control: { address: ${ADDRESS}, port: ${port + 2} }
+platform: { keyValue: ["${this.platformAddress}"], hostList: "${this.platformAddress}", hostListPeriod: 100ms }
+stop: { noticePeriod: 1ms, drainPeriod: 5s }
+log: { level: silent }
+`;
+        const parsed = configuration.parseRouterSettings("settings", text);
+        if (!parsed.valid) {
+            throw new Error(JSON.stringify(parsed));
+        }
+        return parsed.value;
+    }
+}
+
+async function order(url: string, body: object): Promise<void> {
+    await (await fetch(url, { method: "PUT", body: JSON.stringify(body) })).text();
+}
+
+/** Waits until a condition holds; throws after a generous limit. */
+export async function until(what: string, condition: () => Promise<boolean> | boolean): Promise<void> {
+    const endsAt = lifecycle.monotonicClock() + 30_000;
+    while (!await condition()) {
+        if (lifecycle.monotonicClock() > endsAt) {
+            throw new Error(`${what} did not come about`);
+        }
+        await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+}
+
+/** The refusal that a caller received. */
+export function refusal(received: Received): RefusalBody["error"] {
+    return (JSON.parse(received.text) as RefusalBody).error;
+}
