Blame the right end for slow transfers, and look at more decode engines

Cause: a transfer that expired gave no observation, a slow one lowered both ends, and the first decode engine alone was tried, so one bad link stopped the queue. The model let a slow link hold a quick one for the whole transfer; each link now takes bytes at its own rate.

--- a/packages/model/src/engines.ts
+++ b/packages/model/src/engines.ts
@@ -31,18 +31,20 @@
     constructor(public bytesPerSecond: number) {}
 }
 
-/** Moves bytes between two engines. Returns when the transfer ends. */
+/**
+ * Moves bytes between two engines. Each link takes its transfers in turn, for as long as the bytes take at its own rate;
+ * the transfer ends when both are done with it. Returns that time.
+ */
 export function transfer(
     now: decision.Milliseconds,
     from: ModelLink,
     to: ModelLink,
     bytes: number,
 ): decision.Milliseconds {
-    const start = Math.max(now, from.busyUntil, to.busyUntil);
-    const end = start + bytes / Math.min(from.bytesPerSecond, to.bytesPerSecond) * 1_000;
-    from.busyUntil = end;
-    to.busyUntil = end;
-    return end;
+    for (const link of [from, to]) {
+        link.busyUntil = Math.max(now, link.busyUntil) + bytes / link.bytesPerSecond * 1_000;
+    }
+    return Math.max(from.busyUntil, to.busyUntil);
 }
 
 /** A change of a prefix cache. */
--- a/packages/model/src/journey.ts
+++ b/packages/model/src/journey.ts
@@ -148,10 +148,10 @@
         }
         const expiresAt = clock.now + speeds.survivalMs;
         const memoryTokens = ask.promptTokens + this.request.answerTokens - this.tokens;
-        const readyAt = clock.now;
         let moving = false;
         clock.at(expiresAt, () => {
             if (current() && !moving) {
+                this.around.policy.progress({ id: ask.id, transferMs: speeds.survivalMs });
                 this.again([]);
             }
         });
@@ -160,13 +160,14 @@
                 return false;
             }
             const bytes = ask.promptTokens * speeds.cacheBytesPerToken;
+            const takenAt = clock.now;
             const arrivesAt = engineModels.transfer(clock.now, from.link, decode.link, bytes);
             moving = arrivesAt <= expiresAt;
             if (moving) {
                 const slot = this.holdSlot(decode, memoryTokens);
                 clock.at(arrivesAt, () => {
                     if (current() && slot.held()) {
-                        this.around.policy.progress({ id: ask.id, transferMs: clock.now - readyAt });
+                        this.around.policy.progress({ id: ask.id, transferMs: clock.now - takenAt });
                         this.stream(ask, decode, workMs, slot.give);
                     }
                 });
--- a/packages/scheduling/src/engines.ts
+++ b/packages/scheduling/src/engines.ts
@@ -193,17 +193,48 @@
 }
 
 const SLOW_TRANSFER_FACTOR = 2;
+const SLOW_TRANSFER_MARGIN_MS = 50;
 /** One end of a slow transfer is to blame: the engine whose transfers all are slow. */
 const SLOW_TRANSFERS_IN_A_ROW = 3;
 
-/** Takes note of the rate of one transfer that the engine took part in. */
-export function takeTransfer(engine: Engine, bytesPerSecond: number): Engine {
-    if (bytesPerSecond * SLOW_TRANSFER_FACTOR >= engine.linkBytesPerSecond) {
-        const linkBytesPerSecond = Math.max(engine.linkBytesPerSecond, bytesPerSecond);
-        return { ...engine, linkBytesPerSecond, slowTransfers: 0 };
+/** One end of a transfer, before and after it. */
+export interface TransferEnds {
+    readonly from: Engine;
+    readonly to: Engine;
+}
+
+/**
+ * Takes note of one transfer. One that is as quick as expected shows that both ends can do that much; one that is much
+ * slower counts against both, and lowers the end that has the longer row of slow ones. What is expected includes the time
+ * for which earlier transfers held the links.
+ */
+export function takeTransfer(
+    ends: TransferEnds,
+    bytes: number,
+    expectedMs: decision.Milliseconds,
+    elapsedMs: decision.Milliseconds,
+    nominalBytesPerSecond: number,
+): TransferEnds {
+    const { from, to } = ends;
+    const alone = bytes / Math.min(from.linkBytesPerSecond, to.linkBytesPerSecond) * 1_000;
+    const queuedMs = Math.max(0, expectedMs - alone);
+    const seen = Math.min(nominalBytesPerSecond, bytes / Math.max(1, elapsedMs - queuedMs) * 1_000);
+    if (elapsedMs <= expectedMs * SLOW_TRANSFER_FACTOR + SLOW_TRANSFER_MARGIN_MS) {
+        return { from: raiseLink(from, seen), to: raiseLink(to, seen) };
     }
-    const slowTransfers = engine.slowTransfers + 1;
-    return slowTransfers < SLOW_TRANSFERS_IN_A_ROW
-        ? { ...engine, slowTransfers }
-        : { ...engine, slowTransfers, linkBytesPerSecond: bytesPerSecond };
+    const strike = (engine: Engine) => ({ ...engine, slowTransfers: engine.slowTransfers + 1 });
+    const [struckFrom, struckTo] = [strike(from), strike(to)];
+    return struckFrom.slowTransfers >= struckTo.slowTransfers
+        ? { from: lowerLink(struckFrom, seen), to: struckTo }
+        : { from: struckFrom, to: lowerLink(struckTo, seen) };
+}
+
+function raiseLink(engine: Engine, bytesPerSecond: number): Engine {
+    const linkBytesPerSecond = Math.max(engine.linkBytesPerSecond, bytesPerSecond);
+    return { ...engine, linkBytesPerSecond, slowTransfers: 0 };
+}
+
+function lowerLink(engine: Engine, bytesPerSecond: number): Engine {
+    const linkBytesPerSecond = Math.min(engine.linkBytesPerSecond, bytesPerSecond);
+    return engine.slowTransfers < SLOW_TRANSFERS_IN_A_ROW ? engine : { ...engine, linkBytesPerSecond };
 }
--- a/packages/scheduling/src/messages.ts
+++ b/packages/scheduling/src/messages.ts
@@ -88,6 +88,7 @@
         readonly prefillMs?: decision.Milliseconds;
         readonly prefillDone?: boolean;
         readonly cachedTokens?: number;
+        /** How long the transfer took; if the result expired over it, how long it had. */
         readonly transferMs?: decision.Milliseconds;
         readonly tokenMs?: decision.Milliseconds;
     }
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -13,6 +13,9 @@
     readonly readyAt: decision.Milliseconds;
     /** When the transfer is done. */
     readonly arrivesAt: decision.Milliseconds;
+    /** When the links of the two engines are done with the transfer. */
+    readonly fromUntil: decision.Milliseconds;
+    readonly toUntil: decision.Milliseconds;
     readonly prefillTokens: number;
 }
 
@@ -55,15 +58,21 @@
     return Math.min(ask.promptTokens - 1, length * state.settings.prefixTokens);
 }
 
-/** Chooses the prefill and the decode engine together: the pair that yields the first token soonest. */
+/**
+ * Chooses the prefill and the decode engine together: for the least loaded decode engine the prefill engine that yields the
+ * first token soonest. The next decode engines are looked at where no pair with the first is possible.
+ */
 export function choose(state: states.State, ask: messages.Ask, now: decision.Milliseconds): Chosen {
-    const decode = chooseDecode(state, ask, now);
-    if (!decode) {
-        return { found: false, retryAt: Infinity };
+    const prefills = prefillCandidates(state, ask);
+    let choice: Choice | undefined;
+    for (const decode of decodeCandidates(state, ask, now)) {
+        choice = prefills
+            .map((prefill) => plan(state, ask, prefill, decode, now))
+            .reduce<Choice | undefined>(sooner, undefined);
+        if (choice) {
+            break;
+        }
     }
-    const choice = prefillCandidates(state, ask)
-        .map((prefill) => plan(state, ask, prefill, decode, now))
-        .reduce<Choice | undefined>(sooner, undefined);
     if (!choice) {
         return { found: false, retryAt: Infinity };
     }
@@ -76,11 +85,11 @@
     return !next || (best && best.arrivesAt <= next.arrivesAt) ? best : next;
 }
 
-function chooseDecode(
+function* decodeCandidates(
     state: states.State,
     ask: messages.Ask,
     now: decision.Milliseconds,
-): engines.Engine | undefined {
+): Generator<engines.Engine> {
     const pieces = piecesOf(state.settings, ask);
     const onlySlow = state.decodeIndex.first()?.[0].slow === true;
     const limit = CANDIDATE_COUNT + ask.avoid.length + (ask.suspect ? CANDIDATE_COUNT : 0);
@@ -92,19 +101,18 @@
     };
     const probe = state.decodeIndex.size > 0 && !onlySlow ? slowToProbe(state, now) : undefined;
     if (probe && fits(probe)) {
-        return probe;
+        yield probe;
     }
     for (let place = 0; place < limit; place++) {
         const entry = state.decodeIndex.at(place);
         const engine = entry && state.engines.get(entry[1]);
         if (!entry || !engine || entry[0].slow && !onlySlow) {
-            return undefined;
+            return;
         }
         if (fits(engine)) {
-            return engine;
+            yield engine;
         }
     }
-    return undefined;
 }
 
 /** The slow engine that should be tried again, to see whether it still is slow. */
@@ -150,21 +158,23 @@
     const { settings } = state;
     const prefillTokens = ask.promptTokens - cachedTokens(state, prefill.name, ask);
     const workMs = prefillTokens / prefill.tokensPerSecond * 1_000;
-    const rate = Math.min(prefill.linkBytesPerSecond, decode.linkBytesPerSecond);
-    const moveMs = transferMs(settings, ask.promptTokens, rate);
+    const fromMs = transferMs(settings, ask.promptTokens, prefill.linkBytesPerSecond);
+    const toMs = transferMs(settings, ask.promptTokens, decode.linkBytesPerSecond);
     const longestMs = settings.prefillSurvivalMs * SURVIVAL_SHARE;
-    if (moveMs > longestMs) {
+    if (Math.max(fromMs, toMs) > longestMs) {
         return undefined;
     }
-    const linkFree = Math.max(prefill.linkUntil, decode.linkUntil);
-    const earliest = Math.max(now, prefill.busyUntil);
     // The result must not wait longer than it lives for its slot or its link.
     const startAt = Math.max(
-        earliest,
+        now,
+        prefill.busyUntil,
         engines.slotFreeAt(decode) - workMs,
-        linkFree + moveMs - longestMs - workMs,
+        prefill.linkUntil + fromMs - longestMs - workMs,
+        decode.linkUntil + toMs - longestMs - workMs,
     );
     const readyAt = startAt + workMs;
-    const arrivesAt = Math.max(readyAt, linkFree) + moveMs;
-    return { prefill, decode, startAt, readyAt, arrivesAt, prefillTokens };
+    const fromUntil = Math.max(readyAt, prefill.linkUntil) + fromMs;
+    const toUntil = Math.max(readyAt, decode.linkUntil) + toMs;
+    const arrivesAt = Math.max(fromUntil, toUntil);
+    return { prefill, decode, startAt, readyAt, arrivesAt, fromUntil, toUntil, prefillTokens };
 }
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -237,11 +237,11 @@
 
 function reserve(state: states.State, stay: states.Stay, choice: placement.Choice): states.State {
     const suspects = stay.ask.suspect ? 1 : 0;
-    const { prefill, decode, readyAt, arrivesAt } = choice;
+    const { prefill, decode, readyAt } = choice;
     const prefilling = states.putEngine(state, {
         ...prefill,
         busyUntil: readyAt,
-        linkUntil: arrivesAt,
+        linkUntil: choice.fromUntil,
         suspects: prefill.suspects + suspects,
     });
     const stays = decode.stays.set({ endsBy: stay.endsBy, id: stay.ask.id }, true);
@@ -250,7 +250,7 @@
         ...decode,
         stays,
         reservedPieces: decode.reservedPieces + stay.pieces,
-        linkUntil: arrivesAt,
+        linkUntil: choice.toUntil,
         suspects: decode.suspects + suspects,
         probeAt: engines.isSlow(decode, state.settings) ? placement.nextProbe(choice.startAt) : decode.probeAt,
     });
--- a/packages/scheduling/src/stays.ts
+++ b/packages/scheduling/src/stays.ts
@@ -62,14 +62,17 @@
 
 function takeTransfer(state: states.State, stay: states.Stay, elapsedMs: decision.Milliseconds): states.State {
     const bytes = stay.ask.promptTokens * state.settings.cacheBytesPerToken;
-    const bytesPerSecond = bytes / Math.max(1, elapsedMs) * 1_000;
     if (stay.ask.promptTokens < TELLING_TOKENS) {
         return state;
     }
-    return [stay.prefill, stay.decode].reduce((next, name) => {
-        const engine = next.engines.get(name);
-        return engine ? states.putEngine(next, engines.takeTransfer(engine, bytesPerSecond)) : next;
-    }, state);
+    const from = state.engines.get(stay.prefill);
+    const to = state.engines.get(stay.decode);
+    if (!from || !to) {
+        return state;
+    }
+    const nominal = state.settings.linkBytesPerSecond;
+    const ends = engines.takeTransfer({ from, to }, bytes, stay.grant.transferMs, elapsedMs, nominal);
+    return states.putEngine(states.putEngine(state, ends.from), ends.to);
 }
 
 function takePace(state: states.State, stay: states.Stay, tokenMs: decision.Milliseconds): states.State {
