Parse a caller's request once and give its every ending a type

Cause: the body of a completion was parsed twice, a key withdrawn while the body came in was not noticed, a caller slower than the silence limit looked like a silent engine, and what Node refused by itself was neither typed nor counted. Now: a plan is made once from route and body; the key is watched from its check on; the silence of an engine is not counted while the caller holds the stream back; header, parser and body failures are refusals with a reason.

--- a/packages/router/src/callerrequest.ts
+++ b/packages/router/src/callerrequest.ts
@@ -31,3 +31,17 @@
 export function abortCause(signal: AbortSignal): AbortCause | undefined {
     return signal.aborted ? signal.reason as AbortCause : undefined;
 }
+
+/** When a request reached the marks of its way, in milliseconds since its arrival; undefined for those not reached. */
+export interface Timings {
+    /** The start at an upstream. */
+    queueing: decision.Milliseconds | undefined;
+    firstToken: decision.Milliseconds | undefined;
+    /** Tokens sent to the caller. */
+    outputTokens: number;
+}
+
+/** The timings of a request that has just arrived. */
+export function emptyTimings(): Timings {
+    return { queueing: undefined, firstToken: undefined, outputTokens: 0 };
+}
--- a/packages/router/src/callers.ts
+++ b/packages/router/src/callers.ts
@@ -1,227 +1,168 @@
-import type * as configuration from "@citronlead/configuration";
-import * as crypto from "node:crypto";
 import * as http from "node:http";
-import * as authenticate from "./authenticate.js";
-import * as bodies from "./body.js";
-import * as callerRequests from "./callerrequest.js";
-import * as dispatch from "./dispatch.js";
+import type * as net from "node:net";
+import type * as stream from "node:stream";
+import * as answers from "./answer.js";
 import type * as parts from "./parts.js";
 import * as refusals from "./refusal.js";
 import * as reply from "./reply.js";
-import type * as traces from "./trace.js";
 
 /** The port for callers. */
 export interface Callers {
+    /** Tells callers to close their connections after the next answer, as a stop is near. */
+    readonly leave: () => void;
     /** Stops accepting connections and resolves when every request has its final answer, or after the longest wait. */
     readonly drain: (longestMs: number) => Promise<void>;
     /** How many requests are under way. */
     readonly open: () => number;
 }
 
-const DEADLINE_HEADER = "x-deadline-ms";
-const RETRY_AFTER_MS = 1_000;
+/** The requests under way and the connections that they came over. */
+interface OpenRequests {
+    readonly responses: Set<http.ServerResponse>;
+    readonly bySocket: WeakMap<stream.Duplex, http.ServerResponse>;
+    readonly idle: (() => void)[];
+    leaving: boolean;
+}
+
+const KEEP_ALIVE_MS = 60_000;
+const LONGEST_CHECK_PERIOD_MS = 1_000;
+/** Connections beyond so many for each request that may be open are not accepted. */
+const CONNECTIONS_PER_REQUEST = 4;
+/** A caller that has not taken the rest of its final answer by then loses its connection. */
+const FLUSH_LIMIT_MS = 30_000;
 
 /** Opens the port for callers. */
 export async function openCallers(served: parts.Parts): Promise<Callers> {
     const { context } = served;
     const { limits, callers } = context.settings;
-    const open = new Set<http.ServerResponse>();
-    const idle: (() => void)[] = [];
+    const open: OpenRequests = { responses: new Set(), bySocket: new WeakMap(), idle: [], leaving: false };
     const server = http.createServer({
         maxHeaderSize: limits.headers,
         headersTimeout: limits.headerTimeout,
-        requestTimeout: limits.requestTimeout,
-        connectionsCheckingInterval: Math.min(limits.headerTimeout, 1_000),
-        keepAliveTimeout: 60_000,
-    }, (request, response) => {
-        open.add(response);
-        context.metrics.openRequests.set(open.size);
-        response.once("close", () => {
-            open.delete(response);
-            context.metrics.openRequests.set(open.size);
-            if (open.size === 0) {
-                idle.splice(0).forEach((callback) => callback());
-            }
-        });
-        void answer(served, request, response, open.size > limits.openRequests);
+        // Bodies have their own limit, so that a late one gets a refusal like any other.
+        requestTimeout: 0,
+        connectionsCheckingInterval: Math.min(limits.headerTimeout, LONGEST_CHECK_PERIOD_MS),
+        keepAliveTimeout: KEEP_ALIVE_MS,
     });
+    server.maxConnections = CONNECTIONS_PER_REQUEST * limits.openRequests;
+    const take = (request: http.IncomingMessage, response: http.ServerResponse, waitsForContinue: boolean) => {
+        track(served, open, response);
+        const overloaded = open.responses.size > limits.openRequests;
+        void answers.answer(served, request, response, { overloaded, waitsForContinue });
+    };
+    server.on("request", (request, response) => take(request, response, false));
+    server.on("checkContinue", (request, response) => take(request, response, true));
+    server.on("clientError", (error, socket) => refuseConnection(served, open, error, socket));
+    server.on("drop", () => countOutcome(served, refusals.Reason.Overloaded));
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(callers.port, callers.address, resolve);
     });
     context.scope.own(() => server.closeAllConnections());
+    const leave = () => {
+        open.leaving = true;
+        open.responses.forEach((response) => response.shouldKeepAlive = false);
+    };
     return {
-        open: () => open.size,
+        leave,
+        open: () => open.responses.size,
         drain: async (longestMs) => {
+            leave();
             server.close();
             server.closeIdleConnections();
-            open.forEach((response) => response.shouldKeepAlive = false);
-            if (open.size > 0) {
-                await new Promise<void>((resolve) => {
-                    const timer = setTimeout(resolve, longestMs);
-                    idle.push(() => {
-                        clearTimeout(timer);
-                        resolve();
-                    });
-                });
-            }
+            await waitUntilIdle(open, longestMs);
         },
     };
 }
 
-/** Answers one request, whatever comes of it, and writes its line into the log. */
-async function answer(
-    served: parts.Parts,
-    incoming: http.IncomingMessage,
-    response: http.ServerResponse,
-    overloaded: boolean,
-): Promise<void> {
-    const { context } = served;
-    const arrivedAt = context.clock();
-    const requestId = crypto.randomUUID();
-    const note = context.traces.start(requestId);
-    const prepared = overloaded
-        ? refusals.notRun(refusals.Reason.Overloaded, "too many requests are open", RETRY_AFTER_MS)
-        : await prepare(served, incoming, note);
-    let workspace: string | undefined;
-    let refusal: refusals.Refusal | undefined;
-    if ("reason" in prepared) {
-        refusal = prepared;
-        reply.sendRefusal(response, requestId, prepared);
-        incoming.resume();
+/** Counts a request as under way until its answer has gone out or its connection has broken. */
+function track(served: parts.Parts, open: OpenRequests, response: http.ServerResponse): void {
+    const { openRequests } = served.context.metrics;
+    const { socket } = response.req;
+    open.responses.add(response);
+    open.bySocket.set(socket, response);
+    openRequests.set(open.responses.size);
+    if (open.leaving) {
+        response.shouldKeepAlive = false;
     }
-    else {
-        workspace = prepared.credential?.workspace;
-        refusal = await run(served, prepared, response, requestId, arrivedAt, note);
-    }
-    const durationMs = context.clock() - arrivedAt;
-    const outcome = refusal?.reason ?? "answered";
-    const label = context.metrics.label(workspace);
-    note("router", "final answer", { outcome, ran: refusal?.ran });
-    context.metrics.requests.inc({ workspace: label, outcome });
-    context.metrics.duration.observe({ workspace: label }, durationMs / 1_000);
-    context.log.info({
-        requestId,
-        workspace,
-        method: incoming.method,
-        route: "route" in prepared ? prepared.route.kind : undefined,
-        outcome,
-        ran: refusal?.ran,
-        durationMs: Math.round(durationMs * 10) / 10,
-    }, "request");
+    response.once("prefinish", () => endLate(response, socket));
+    response.once("close", () => {
+        open.responses.delete(response);
+        openRequests.set(open.responses.size);
+        if (open.leaving) {
+            closeAfterAnswer(open, response, socket);
+        }
+        if (open.responses.size === 0) {
+            open.idle.splice(0).forEach((callback) => callback());
+        }
+    });
 }
 
-interface Prepared {
-    readonly current: configuration.Configuration;
-    readonly route: dispatch.Route;
-    readonly credential: authenticate.Credential | undefined;
-    readonly body: Buffer;
-    readonly incoming: http.IncomingMessage;
+/** Closes a connection whose answer began before the stop, when its head still said keep-alive. */
+function closeAfterAnswer(open: OpenRequests, response: http.ServerResponse, socket: net.Socket): void {
+    if (open.bySocket.get(socket) === response) {
+        socket.end();
+    }
 }
 
-/** Checks key, route and body, in this order, so that nothing is read for callers without a key. */
-async function prepare(
-    served: parts.Parts,
-    incoming: http.IncomingMessage,
-    note: traces.Note,
-): Promise<Prepared | refusals.Refusal> {
-    const current = served.configuration.current();
-    if (!current) {
-        const message = "no configuration is known yet";
-        return refusals.notRun(refusals.Reason.ConfigurationStale, message, RETRY_AFTER_MS);
-    }
-    const route = dispatch.findRoute(current.fleet, incoming.method ?? "GET", incoming.url ?? "/");
-    if ("reason" in route) {
-        return route;
-    }
-    const key = authenticate.presentedKey(incoming.headers.authorization);
-    const credential = key === undefined ? undefined : authenticate.authenticate(current, key);
-    const refusedKey = dispatch.isOpen(route) ? undefined : checkKey(served, credential);
-    if (refusedKey) {
-        return refusedKey;
-    }
-    note("router", "authenticated", { workspace: credential?.workspace, revision: current.revision });
-    const body = await bodies.readBody(incoming, served.context.settings.limits.body);
-    if (body.kind !== bodies.BodyKind.Whole) {
-        return body.kind === bodies.BodyKind.TooLarge
-            ? refusals.notRun(refusals.Reason.BodyTooLarge, "the body is over its limit")
-            : refusals.notRun(refusals.Reason.BadRequest, "the body stopped before its end");
-    }
-    const misplaced = dispatch.checkKeyPlacement(credential, body.body);
-    return misplaced ?? { current, route, credential, body: body.body, incoming };
+/** Breaks the connection of a caller that does not take its final answer. */
+function endLate(response: http.ServerResponse, socket: net.Socket): void {
+    const timer = setTimeout(() => socket.destroy(), FLUSH_LIMIT_MS);
+    response.once("close", () => clearTimeout(timer));
 }
 
-function checkKey(
-    served: parts.Parts,
-    credential: authenticate.Credential | undefined,
-): refusals.Refusal | undefined {
-    if (!served.configuration.keysUsable()) {
-        const message = "this host cannot know whether the key was withdrawn";
-        return refusals.notRun(refusals.Reason.ConfigurationStale, message, RETRY_AFTER_MS);
+async function waitUntilIdle(open: OpenRequests, longestMs: number): Promise<void> {
+    if (open.responses.size === 0) {
+        return;
     }
-    return credential ? undefined : refusals.notRun(refusals.Reason.Unauthenticated, "the key is missing or unknown");
+    await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, longestMs);
+        open.idle.push(() => {
+            clearTimeout(timer);
+            resolve();
+        });
+    });
 }
 
-async function run(
-    served: parts.Parts,
-    prepared: Prepared,
-    response: http.ServerResponse,
-    requestId: string,
-    arrivedAt: number,
-    note: traces.Note,
-): Promise<refusals.Refusal | undefined> {
-    const { context } = served;
-    const { current, route, credential, body, incoming } = prepared;
-    const profileDeadlineMs = dispatch.profileOf(current.fleet, route, body)?.deadline ?? DEFAULT_DEADLINE_MS;
-    const deadline = arrivedAt + Math.min(profileDeadlineMs, deadlineHeader(incoming.headers) ?? Infinity);
-    const control = new AbortController();
-    const timer = setTimeout(
-        () => control.abort(callerRequests.AbortCause.DeadlinePassed),
-        Math.max(0, deadline - context.clock()),
-    );
-    response.once("close", () => {
-        if (!response.writableFinished) {
-            control.abort(callerRequests.AbortCause.CallerGone);
-        }
+/** Answers what is no whole HTTP request. A request that is under way on the connection counts its own outcome. */
+function refuseConnection(served: parts.Parts, open: OpenRequests, error: Error, socket: stream.Duplex): void {
+    const underWay = open.bySocket.get(socket);
+    const refusal = connectionRefusal((error as NodeJS.ErrnoException).code);
+    const answering = underWay !== undefined && !underWay.writableEnded;
+    if (!answering && refusal) {
+        countOutcome(served, refusal.reason);
+    }
+    if (!refusal || !socket.writable || (answering && underWay.headersSent)) {
+        socket.destroy();
+        return;
+    }
+    const status = refusals.statusOf(refusal);
+    const body = JSON.stringify(refusals.refusalBody(refusal, ""));
+    const headers = Object.entries({
+        ...reply.refusalHeaders(refusal),
+        "content-type": "application/json",
+        "content-length": String(Buffer.byteLength(body)),
+        "connection": "close",
     });
-    const stopWatching = watchKey(served, credential, control);
-    const request: callerRequests.CallerRequest = {
-        requestId,
-        method: incoming.method ?? "GET",
-        pathAndQuery: incoming.url ?? "/",
-        headers: incoming.headers,
-        body,
-        credential,
-        arrivedAt,
-        deadline,
-        signal: control.signal,
-        note,
-    };
-    const refusal = await dispatch.serve(served, current, route, request, response);
-    clearTimeout(timer);
-    stopWatching();
-    return refusal;
+    const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    socket.end(`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ""}\r\n${lines}\r\n${body}`, () => socket.destroy());
 }
 
-const DEFAULT_DEADLINE_MS = 10_000;
-
-function deadlineHeader(headers: http.IncomingHttpHeaders): number | undefined {
-    const value = Number(headers[DEADLINE_HEADER]);
-    return Number.isFinite(value) && value > 0 ? value : undefined;
+/** The refusal for an error of Node's parser; none for a connection that just broke. */
+function connectionRefusal(code: string | undefined): refusals.Refusal | undefined {
+    if (code === "HPE_HEADER_OVERFLOW") {
+        return refusals.notRun(refusals.Reason.HeadersTooLarge, "the headers are over their limit");
+    }
+    if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+        return refusals.notRun(refusals.Reason.RequestTimeout, "the headers did not come in time");
+    }
+    return code?.startsWith("HPE_")
+        ? refusals.notRun(refusals.Reason.BadRequest, "this is no HTTP request")
+        : undefined;
 }
 
-/** Aborts the request when its key is withdrawn. Returns a function that ends the watch. */
-function watchKey(
-    served: parts.Parts,
-    credential: authenticate.Credential | undefined,
-    control: AbortController,
-): () => void {
-    if (!credential) {
-        return () => undefined;
-    }
-    return served.configuration.onChange((next) => {
-        if (authenticate.indexKeys(next).get(credential.hash) !== credential.workspace) {
-            control.abort(callerRequests.AbortCause.KeyWithdrawn);
-        }
-    });
+function countOutcome(served: parts.Parts, outcome: refusals.Reason): void {
+    const { metrics, log } = served.context;
+    metrics.requests.inc({ workspace: metrics.label(undefined), outcome });
+    log.info({ outcome, ran: refusals.Ran.No }, "connection refused");
 }
--- a/packages/router/src/dispatch.ts
+++ b/packages/router/src/dispatch.ts
@@ -1,9 +1,10 @@
 import type * as configuration from "@citronlead/configuration";
-import * as crypto from "node:crypto";
+import * as decision from "@citronlead/decision";
 import type * as http from "node:http";
-import * as authenticate from "./authenticate.js";
+import type * as authenticate from "./authenticate.js";
 import type * as callerRequests from "./callerrequest.js";
-import * as modelpath from "./modelpath.js";
+import * as charging from "./charge.js";
+import * as completions from "./completion.js";
 import * as openai from "./openai.js";
 import type * as parts from "./parts.js";
 import * as refusals from "./refusal.js";
@@ -23,6 +24,12 @@
     Service = "service",
 }
 
+/** What is to be done for a request, once its body was read. */
+export type Plan =
+    | { readonly kind: RouteKind.Completion; readonly asked: completions.AskedCompletion; }
+    | { readonly kind: RouteKind.Models; readonly names: readonly string[]; }
+    | { readonly kind: RouteKind.Service; readonly service: configuration.Service; };
+
 const MODEL_ROUTES: Readonly<Record<string, { readonly method: string; readonly route: Route; }>> = {
     "/v1/chat/completions": {
         method: "POST",
@@ -38,7 +45,7 @@
 /** Finds the route of a path, or the refusal of a path that leads nowhere. */
 export function findRoute(fleet: configuration.Fleet, method: string, pathAndQuery: string): Route | refusals.Refusal {
     const path = pathAndQuery.split("?")[0] ?? "/";
-    const modelRoute = MODEL_ROUTES[path];
+    const modelRoute = Object.hasOwn(MODEL_ROUTES, path) ? MODEL_ROUTES[path] : undefined;
     if (modelRoute) {
         return modelRoute.method === method ? modelRoute.route : wrongMethod();
     }
@@ -66,21 +73,42 @@
     return route.kind === RouteKind.Service && route.service.open;
 }
 
-/** The profile that a route runs under, as far as the path tells; models name theirs in the body. */
-export function profileOf(
-    fleet: configuration.Fleet,
-    route: Route,
-    body: Buffer,
-): configuration.Profile | undefined {
-    if (route.kind === RouteKind.Service) {
-        return fleet.profiles[route.service.profile];
+/** Reads what is to be done from the route and the body, which is parsed here and nowhere else. */
+export function makePlan(fleet: configuration.Fleet, route: Route, body: Buffer): Plan | refusals.Refusal {
+    switch (route.kind) {
+        case RouteKind.Models:
+            return { kind: RouteKind.Models, names: Object.keys(fleet.models) };
+        case RouteKind.Service:
+            return { kind: RouteKind.Service, service: route.service };
+        case RouteKind.Completion: {
+            const asked = completions.readAsked(fleet, route.completion, body);
+            return "reason" in asked ? asked : { kind: RouteKind.Completion, asked };
+        }
+    }
+}
+
+/** The name of the profile that a plan runs under: the class of the request. */
+export function profileName(plan: Plan): string | undefined {
+    switch (plan.kind) {
+        case RouteKind.Models:
+            return undefined;
+        case RouteKind.Service:
+            return plan.service.profile;
+        case RouteKind.Completion:
+            return plan.asked.model.profile;
     }
-    if (route.kind === RouteKind.Completion) {
-        const completion = openai.readCompletion(route.completion, body);
-        const model = typeof completion === "string" ? undefined : fleet.models[completion.model];
-        return model ? fleet.profiles[model.profile] : undefined;
+}
+
+/** The name of the model or service that a plan leads to. */
+export function targetName(plan: Plan): string | undefined {
+    switch (plan.kind) {
+        case RouteKind.Models:
+            return undefined;
+        case RouteKind.Service:
+            return plan.service.name;
+        case RouteKind.Completion:
+            return plan.asked.completion.model;
     }
-    return undefined;
 }
 
 /** Refuses a request whose key would reach an upstream with the body. */
@@ -96,19 +124,21 @@
 /** Serves a request and sends its final answer. Returns the refusal, if it was one. */
 export async function serve(
     served: parts.Parts,
-    current: configuration.Configuration,
-    route: Route,
+    plan: Plan,
     request: callerRequests.CallerRequest,
+    timings: callerRequests.Timings,
     response: http.ServerResponse,
 ): Promise<refusals.Refusal | undefined> {
-    switch (route.kind) {
+    switch (plan.kind) {
         case RouteKind.Models:
-            reply.sendJson(response, 200, openai.modelList(Object.keys(current.fleet.models)));
+            reply.sendJson(response, 200, openai.modelList(plan.names));
             return undefined;
         case RouteKind.Service:
-            return serveCall(served, route.service, request, response);
+            return serveCall(served, plan.service, request, timings, response);
         case RouteKind.Completion:
-            return serveCompletion(served, current, route.completion, request, response);
+            return completions.serveCompletion(served, plan.asked, request, timings, response);
+        default:
+            return decision.unreachable(plan);
     }
 }
 
@@ -116,203 +146,22 @@
     served: parts.Parts,
     service: configuration.Service,
     request: callerRequests.CallerRequest,
+    timings: callerRequests.Timings,
     response: http.ServerResponse,
 ): Promise<refusals.Refusal | undefined> {
-    const charge = await chargeRequest(served, request, service.chargeTokens);
-    if (isRefusal(charge)) {
-        reply.sendRefusal(response, request.requestId, charge);
-        return charge;
+    const charge = await charging.chargeRequest(served, request, service.chargeTokens);
+    if (!charge.granted) {
+        reply.sendRefusal(response, request.requestId, charge.refusal);
+        return charge.refusal;
     }
+    charging.noteStart(served, request, timings);
     const outcome = await servicepath.serveService(served, request, service);
-    charge(service.chargeTokens);
     if (outcome.answered) {
-        reply.sendStored(response, request.requestId, outcome);
+        charge.settle(service.chargeTokens);
+        reply.sendStored(response, outcome);
         return undefined;
     }
+    charge.settle(outcome.refusal.ran === refusals.Ran.No ? 0 : service.chargeTokens);
     reply.sendRefusal(response, request.requestId, outcome.refusal);
     return outcome.refusal;
 }
-
-type Settle = (usedTokens: number) => void;
-
-function isRefusal(value: Settle | refusals.Refusal): value is refusals.Refusal {
-    return typeof value !== "function";
-}
-
-async function chargeRequest(
-    served: parts.Parts,
-    request: callerRequests.CallerRequest,
-    tokens: number,
-): Promise<Settle | refusals.Refusal> {
-    const workspace = request.credential?.workspace;
-    if (workspace === undefined) {
-        return () => undefined;
-    }
-    const charge = await served.admission.charge({
-        requestId: request.requestId,
-        workspace,
-        tokens,
-        deadline: request.deadline,
-        signal: request.signal,
-    });
-    request.note("admission", charge.granted ? "charged" : "refused", { tokens });
-    if (charge.granted) {
-        return charge.settle;
-    }
-    return request.signal.aborted
-        ? { ...modelpath.abortRefusal(request), ran: refusals.Ran.No }
-        : refusals.notRun(refusals.Reason.RateExceeded, "the workspace's rate is used up", charge.retryAfterMs);
-}
-
-async function serveCompletion(
-    served: parts.Parts,
-    current: configuration.Configuration,
-    kind: openai.CompletionKind,
-    request: callerRequests.CallerRequest,
-    response: http.ServerResponse,
-): Promise<refusals.Refusal | undefined> {
-    const completion = openai.readCompletion(kind, request.body);
-    const checked = typeof completion === "string"
-        ? refusals.notRun(refusals.Reason.BadRequest, completion)
-        : checkModel(current.fleet, completion);
-    if (typeof completion === "string" || "reason" in checked) {
-        const refusal = checked as refusals.Refusal;
-        reply.sendRefusal(response, request.requestId, refusal);
-        return refusal;
-    }
-    const wish = makeWish(completion, checked, request);
-    const charge = await chargeRequest(
-        served,
-        request,
-        Math.max(checked.model.smallestChargeTokens, wish.promptTokens + wish.outputTokens),
-    );
-    if (isRefusal(charge)) {
-        reply.sendRefusal(response, request.requestId, charge);
-        return charge;
-    }
-    return sendCompletion(served, completion, wish, charge, request, response);
-}
-
-async function sendCompletion(
-    served: parts.Parts,
-    completion: openai.Completion,
-    wish: modelpath.ModelWish,
-    settle: Settle,
-    request: callerRequests.CallerRequest,
-    response: http.ServerResponse,
-): Promise<refusals.Refusal | undefined> {
-    const head: openai.AnswerHead = {
-        id: request.requestId,
-        kind: completion.kind,
-        model: completion.model,
-        created: Math.floor(new Date().getTime() / 1_000),
-    };
-    const answer = new reply.AnswerStream(response, head);
-    const texts: string[] = [];
-    const watch = watchTokens(served, request);
-    const outcome = await modelpath.serveModel(served, request, wish, (text) => {
-        watch();
-        if (completion.stream) {
-            return answer.token(text);
-        }
-        texts.push(text);
-        return undefined;
-    });
-    if (!outcome.whole) {
-        settle(outcome.refusal.ran === refusals.Ran.No ? 0 : wish.promptTokens + outcome.outputTokens);
-        reply.sendRefusal(response, request.requestId, outcome.refusal);
-        return outcome.refusal;
-    }
-    settle(outcome.promptTokens + outcome.outputTokens);
-    if (completion.stream) {
-        answer.finish(outcome.finishReason);
-    }
-    else {
-        const text = texts.join("");
-        const { finishReason, promptTokens, outputTokens } = outcome;
-        reply.sendJson(response, 200, openai.wholeAnswer(head, text, finishReason, promptTokens, outputTokens), {
-            "x-request-id": request.requestId,
-        });
-    }
-    return undefined;
-}
-
-/** Measures the time to the first token and between tokens. */
-function watchTokens(served: parts.Parts, request: callerRequests.CallerRequest): () => void {
-    const { clock, metrics } = served.context;
-    const labels = { workspace: metrics.label(request.credential?.workspace) };
-    let last: number | undefined;
-    return () => {
-        const now = clock();
-        if (last === undefined) {
-            metrics.timeToFirstToken.observe(labels, (now - request.arrivedAt) / 1_000);
-            request.note("router", "first token");
-        }
-        else {
-            metrics.timeBetweenTokens.observe(labels, (now - last) / 1_000);
-        }
-        last = now;
-    };
-}
-
-interface CheckedModel {
-    readonly model: configuration.Model;
-    readonly profile: configuration.Profile;
-}
-
-function checkModel(fleet: configuration.Fleet, completion: openai.Completion): CheckedModel | refusals.Refusal {
-    const model = fleet.models[completion.model];
-    const profile = model ? fleet.profiles[model.profile] : undefined;
-    if (!model || !profile) {
-        return refusals.notRun(refusals.Reason.UnknownModel, "no model of this name");
-    }
-    if (estimateTokens(completion.prompt) > model.longestPromptTokens) {
-        return refusals.notRun(refusals.Reason.PromptTooLong, "the prompt is longer than the model takes");
-    }
-    return { model, profile };
-}
-
-const BYTES_PER_TOKEN = 3;
-const DEFAULT_OUTPUT_TOKENS = 256;
-const PREFIX_BYTES = 1_024;
-const PREFIX_LIMIT = 64;
-
-/** An upper bound of a text's tokens for usual texts; the engine's own count settles the charge. */
-function estimateTokens(text: string): number {
-    return Math.max(1, Math.ceil(Buffer.byteLength(text) / BYTES_PER_TOKEN));
-}
-
-function makeWish(
-    completion: openai.Completion,
-    { model, profile }: CheckedModel,
-    request: callerRequests.CallerRequest,
-): modelpath.ModelWish {
-    return {
-        pool: model.pool,
-        workspace: request.credential?.workspace ?? "",
-        priority: profile.priority,
-        prompt: completion.prompt,
-        promptTokens: estimateTokens(completion.prompt),
-        outputTokens: Math.min(model.longestOutputTokens, completion.outputTokens ?? DEFAULT_OUTPUT_TOKENS),
-        fingerprint: fingerprint(completion),
-        prefixHashes: prefixHashes(completion),
-        firstTokenTargetMs: profile.firstTokenTarget,
-    };
-}
-
-/** Names the content of a completion, whoever sends it. */
-function fingerprint(completion: openai.Completion): string {
-    return crypto.createHash("sha256").update(`${completion.model}\n${completion.prompt}`).digest("hex");
-}
-
-/** Hashes of the prompt's prefixes, each a fixed length longer than the one before. */
-function prefixHashes(completion: openai.Completion): string[] {
-    const bytes = Buffer.from(completion.prompt);
-    const hash = crypto.createHash("sha256").update(completion.model);
-    const hashes: string[] = [];
-    for (let end = PREFIX_BYTES; end <= bytes.length && hashes.length < PREFIX_LIMIT; end += PREFIX_BYTES) {
-        hash.update(bytes.subarray(end - PREFIX_BYTES, end));
-        hashes.push(hash.copy().digest("hex").slice(0, 16));
-    }
-    return hashes;
-}
--- a/packages/router/src/refusal.ts
+++ b/packages/router/src/refusal.ts
@@ -4,6 +4,9 @@
 export enum Reason {
     BadRequest = "bad-request",
     BodyTooLarge = "body-too-large",
+    HeadersTooLarge = "headers-too-large",
+    /** The caller did not send its whole request in time. */
+    RequestTimeout = "request-timeout",
     Unauthenticated = "unauthenticated",
     KeyMisplaced = "key-misplaced",
     UnknownRoute = "unknown-route",
@@ -47,6 +50,8 @@
 const STATUS_BY_REASON: Readonly<Record<Reason, number>> = {
     [Reason.BadRequest]: 400,
     [Reason.BodyTooLarge]: 413,
+    [Reason.HeadersTooLarge]: 431,
+    [Reason.RequestTimeout]: 408,
     [Reason.Unauthenticated]: 401,
     [Reason.KeyMisplaced]: 400,
     [Reason.UnknownRoute]: 404,
--- a/packages/upstream/src/stream.ts
+++ b/packages/upstream/src/stream.ts
@@ -14,7 +14,7 @@
     Unreachable = "unreachable",
     /** The connection broke or was silent before the end piece. */
     Cut = "cut",
-    /** The engine sent something that is no piece, or a piece that is too long. */
+    /** The engine sent something that is no piece, a piece that is too long, or more tokens than were asked for. */
     Garbage = "garbage",
 }
 
@@ -51,6 +51,7 @@
     return new Promise((resolve) => {
         const payload = Buffer.from(JSON.stringify(request));
         let settled = false;
+        let taking = false;
         const settle = (outcome: StreamOutcome) => {
             if (!settled) {
                 settled = true;
@@ -65,24 +66,44 @@
             signal: target.signal,
             headers: { "content-type": "application/json", "content-length": payload.length },
         });
-        const silence = setTimeout(() => settle({ end: StreamEnd.Cut }), options.silenceMs);
+        // A reader that holds the stream back is no silence of the engine.
+        const silence = setTimeout(
+            () => taking ? void silence.refresh() : settle({ end: StreamEnd.Cut }),
+            options.silenceMs,
+        );
         call.on(
             "error",
             (error: NodeJS.ErrnoException) =>
                 settle({ end: error.code === "ECONNREFUSED" ? StreamEnd.Unreachable : StreamEnd.Cut }),
         );
-        call.on("response", (response) => {
-            void readResponse(response, options, () => silence.refresh()).then(settle);
-        });
+        const take = async (piece: contract.Piece): Promise<Continue> => {
+            taking = true;
+            const wanted = await options.take(piece);
+            taking = false;
+            return wanted;
+        };
+        const reading: Reading = {
+            outputTokens: request.outputTokens,
+            heard: () => void silence.refresh(),
+            ended: () => settled,
+            take,
+        };
+        call.on("response", (response) => void readResponse(response, reading).then(settle));
         call.end(payload);
     });
 }
 
-async function readResponse(
-    response: http.IncomingMessage,
-    options: StreamOptions,
-    heard: () => void,
-): Promise<StreamOutcome> {
+/** What reading a response needs to know and to tell. */
+interface Reading {
+    /** How many tokens were asked for. */
+    readonly outputTokens: number;
+    readonly heard: () => void;
+    /** Whether the stream was given up on; nothing is handed on after that. */
+    readonly ended: () => boolean;
+    readonly take: (piece: contract.Piece) => Promise<Continue>;
+}
+
+async function readResponse(response: http.IncomingMessage, reading: Reading): Promise<StreamOutcome> {
     if (response.statusCode !== 200) {
         return readRefusal(response);
     }
@@ -93,22 +114,20 @@
         onEvent: (event) => {
             length = 0;
             const piece = readPiece(event.event, event.data);
-            if (piece) {
+            garbage ||= !piece || isBeyond(piece, reading.outputTokens);
+            if (piece && !garbage) {
                 pieces.push(piece);
             }
-            else {
-                garbage = true;
-            }
         },
     });
     response.setEncoding("utf8");
     try {
         for await (const text of response) {
-            heard();
+            reading.heard();
             length += (text as string).length;
             parser.feed(text as string);
             for (const piece of pieces.splice(0)) {
-                if (await options.take(piece) === Continue.No) {
+                if (reading.ended() || await reading.take(piece) === Continue.No) {
                     return { end: StreamEnd.Stopped };
                 }
             }
@@ -123,6 +142,12 @@
     return { end: StreamEnd.Cut };
 }
 
+function isBeyond(piece: contract.Piece, outputTokens: number): boolean {
+    return piece.kind === contract.PieceKind.Token
+        ? piece.index >= outputTokens || piece.text.length > EVENT_LIMIT
+        : piece.outputTokens > outputTokens;
+}
+
 async function readRefusal(response: http.IncomingMessage): Promise<StreamOutcome> {
     let text = "";
     response.setEncoding("utf8");
