Test callers and bad input against a router with stand-ins in one process

Each bad input ends in a typed outcome, is counted once, and leaves no open request and no engine memory.

--- /dev/null
+++ b/packages/router/test/badinput.test.ts
@@ -0,0 +1,150 @@
+import * as lifecycle from "@citronlead/lifecycle";
+import * as testing from "@citronlead/testing";
+import * as chai from "chai";
+import * as fastCheck from "fast-check";
+import * as http from "node:http";
+import * as openai from "../src/openai.js";
+import * as fixtures from "./callersfixture.js";
+
+const PORT_OFFSET = 1_050;
+
+const SETTINGS = `
+limits: { body: 64KiB, headers: 8KiB, headerTimeout: 400ms, requestTimeout: 400ms, openRequests: 40 }
+`;
+
+function head(fixture: fixtures.Fixture, more: string): string {
+    return `POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nconnection: close\r\nauthorization: Bearer ${fixture.key}\r\n${more}\r\n\r\n`;
+}
+
+/** Runs the action and checks that it ended with the outcome, was counted once and left nothing behind. */
+async function expectOutcome(
+    fixture: fixtures.Fixture,
+    outcome: string,
+    action: () => Promise<string>,
+    count = 1,
+): Promise<void> {
+    const before = await fixtures.countOutcome(fixture, outcome);
+    const text = await action();
+    chai.expect(text).to.contain(`"reason":"${outcome}"`);
+    chai.expect(await fixtures.countOutcome(fixture, outcome) - before).to.equal(count);
+    await fixtures.expectNothingHeld(fixture);
+}
+
+describe("bad input", () => {
+    const scope = new lifecycle.Lifecycle("test");
+    let fixture: fixtures.Fixture;
+    before(async () => {
+        fixture = await fixtures.startFixture(scope, testing.testPortBase(PORT_OFFSET), SETTINGS);
+    });
+    after(() => scope.close());
+
+    const chat = async (more: object) => (await fixtures.chat(fixture, more)).text;
+    const post = async (body: string) =>
+        (await fixtures.call(fixture, "/v1/chat/completions", { method: "POST", body })).text;
+
+    it("refuses a body over its limit, announced or not", async () => {
+        const long = "x".repeat(200 * 1024);
+        await expectOutcome(fixture, "body-too-large", () => post(long));
+        const chunked = `${head(fixture, "transfer-encoding: chunked")}${
+            long.length.toString(16)
+        }\r\n${long}\r\n0\r\n\r\n`;
+        await expectOutcome(fixture, "body-too-large", () => fixtures.sendRaw(fixture, [chunked]));
+    });
+
+    it("refuses broken JSON, unknown models, wrong fields and options that are not served", async () => {
+        await expectOutcome(fixture, "bad-request", () => post('{"model":'));
+        await expectOutcome(fixture, "unknown-model", () => chat({ model: "nobody" }));
+        await expectOutcome(fixture, "unknown-model", () => chat({ model: "__proto__" }));
+        await expectOutcome(fixture, "bad-request", () => chat({ messages: [] }));
+        await expectOutcome(fixture, "bad-request", () => chat({ n: 2 }));
+        const long = [{ role: "user", content: "x".repeat(61_000) }];
+        await expectOutcome(fixture, "prompt-too-long", () => chat({ messages: long }));
+        await expectOutcome(fixture, "key-misplaced", () => chat({ note: fixture.key }));
+    });
+
+    it("refuses floods of headers", async () => {
+        const flood = Array.from({ length: 400 }, (_, index) => `x-flood-${index}: ${"y".repeat(40)}`).join("\r\n");
+        await expectOutcome(fixture, "headers-too-large", () => fixtures.sendRaw(fixture, [head(fixture, flood)]));
+    });
+
+    it("refuses what is no HTTP", async () => {
+        await expectOutcome(fixture, "bad-request", () => fixtures.sendRaw(fixture, ["\u0000\u0001 nonsense\r\n\r\n"]));
+    });
+
+    it("refuses callers that send their headers too slowly", async () => {
+        const drops = [..."GET /stock HTTP/1.1\r\nx-slow: "].concat(Array.from({ length: 100 }, () => "z"));
+        await expectOutcome(fixture, "request-timeout", () => fixtures.sendRaw(fixture, drops, 50));
+    });
+
+    it("refuses a chunked body that stops, and one that breaks off", async () => {
+        const start = `${head(fixture, "transfer-encoding: chunked")}5\r\n{"mod\r\n`;
+        await expectOutcome(fixture, "request-timeout", () => fixtures.sendRaw(fixture, [start]));
+        await expectOutcome(fixture, "bad-request", () => fixtures.sendRaw(fixture, [start, "not a length\r\n"], 20));
+    });
+
+    it("refuses requests beyond the number that may be open", async () => {
+        await fixtures.setFaults(fixture.service, { delayMs: 1_000 });
+        const agent = new http.Agent({ maxSockets: Infinity });
+        const before = await fixtures.countOutcome(fixture, "overloaded");
+        const all = await Promise.all(Array.from({ length: 50 }, () => fixtures.call(fixture, "/stock/1", { agent })));
+        await fixtures.setFaults(fixture.service, { delayMs: 0 });
+        chai.expect(all.filter((one) => one.status === 200)).to.have.length(40);
+        chai.expect(all.filter((one) => one.text.includes("overloaded"))).to.have.length(10);
+        chai.expect(await fixtures.countOutcome(fixture, "overloaded") - before).to.equal(10);
+        await fixtures.expectNothingHeld(fixture);
+    });
+
+    it("gives the whole answer when an engine repeats tokens or cuts its stream", async () => {
+        const clean = JSON.parse(await chat({ max_tokens: 12 })) as { choices: object; };
+        for (const faults of [{ repeatTokens: true }, { cutAfterTokens: 5 }]) {
+            await fixtures.setFaults(fixture.decode, faults);
+            const answer = JSON.parse(await chat({ max_tokens: 12 })) as { choices: object; };
+            chai.expect(answer.choices, JSON.stringify(faults)).to.deep.equal(clean.choices);
+            await fixtures.setFaults(fixture.decode, { repeatTokens: false, cutAfterTokens: 0 });
+        }
+        await fixtures.expectNothingHeld(fixture);
+    });
+
+    for (const fault of ["garbage", "overlong"]) {
+        it(`refuses a request whose engine sends a stream that is ${fault}`, async () => {
+            await fixtures.setFaults(fixture.decode, { [fault]: true });
+            const messages = [{ role: "user", content: `meets a stream that is ${fault}` }];
+            const refused = await chat({ max_tokens: 12, messages, stream: true });
+            await fixtures.setFaults(fixture.decode, { [fault]: false });
+            chai.expect(refused).to.match(/"reason":"(upstream-failed|overloaded|quarantined)"/);
+            chai.expect(refused).to.contain('"ran":"unknown"');
+            chai.expect(refused).not.to.contain("[DONE]");
+            await fixtures.expectNothingHeld(fixture);
+        });
+    }
+
+    it("reads any body without throwing, and takes only completions", () => {
+        const anything = fastCheck.oneof(
+            fastCheck.json(),
+            fastCheck.string(),
+            fastCheck.record({
+                model: fastCheck.oneof(fastCheck.string(), fastCheck.integer()),
+                prompt: fastCheck.anything(),
+                messages: fastCheck.anything(),
+                stream: fastCheck.anything(),
+                max_tokens: fastCheck.oneof(fastCheck.integer(), fastCheck.double()),
+            }, { requiredKeys: [] }).map((value) =>
+                JSON.stringify(value, (_key, one: unknown) => typeof one === "bigint" ? String(one) : one) ?? ""
+            ),
+        );
+        fastCheck.assert(
+            fastCheck.property(
+                anything,
+                fastCheck.constantFrom(...Object.values(openai.CompletionKind)),
+                (text, kind) => {
+                    const read = openai.readCompletion(kind, Buffer.from(text));
+                    if (typeof read !== "string") {
+                        chai.expect(read.model).not.to.equal("");
+                        chai.expect(read.outputTokens ?? 1).to.be.greaterThan(0);
+                    }
+                },
+            ),
+            { numRuns: 500 },
+        );
+    });
+});
--- /dev/null
+++ b/packages/router/test/callers.test.ts
@@ -0,0 +1,137 @@
+import * as configuration from "@citronlead/configuration";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as testing from "@citronlead/testing";
+import * as chai from "chai";
+import * as http from "node:http";
+import * as openai from "../src/openai.js";
+import * as fixtures from "./callersfixture.js";
+
+const PORT_OFFSET = 1_000;
+
+interface Chunk {
+    readonly choices: readonly { readonly delta: { readonly role?: string; readonly content?: string; }; }[];
+    readonly usage?: { readonly completion_tokens: number; readonly total_tokens: number; } | null;
+}
+
+function readChunks(text: string): Chunk[] {
+    return text.split("\n\n")
+        .filter((event) => event.startsWith("data: {"))
+        .map((event) => JSON.parse(event.slice("data: ".length)) as Chunk);
+}
+
+function readError(received: fixtures.Received): { reason: string; ran: string; requestId: string; } {
+    return (JSON.parse(received.text) as { error: { reason: string; ran: string; requestId: string; }; }).error;
+}
+
+describe("callers", () => {
+    const scope = new lifecycle.Lifecycle("test");
+    let fixture: fixtures.Fixture;
+    before(async () => {
+        fixture = await fixtures.startFixture(scope, testing.testPortBase(PORT_OFFSET));
+    });
+    after(() => scope.close());
+
+    it("streams a chat completion with the counts of tokens at the end", async () => {
+        const received = await fixtures.chat(fixture, { stream: true, stream_options: { include_usage: true } });
+        const chunks = readChunks(received.text);
+        const contents = chunks.flatMap((chunk) => chunk.choices).filter((choice) => choice.delta.content);
+        chai.expect(received.headers["content-type"]).to.equal("text/event-stream");
+        chai.expect(contents).to.have.length(4);
+        chai.expect(contents[0]?.delta.role).to.equal("assistant");
+        chai.expect(chunks.slice(0, -1).every((chunk) => chunk.usage === null)).to.equal(true);
+        chai.expect(chunks.at(-1)?.choices).to.deep.equal([]);
+        chai.expect(chunks.at(-1)?.usage?.completion_tokens).to.equal(4);
+        chai.expect(received.text.endsWith("data: [DONE]\n\n")).to.equal(true);
+    });
+
+    it("gives the same text whole, and on both routes", async () => {
+        const streamed = await fixtures.chat(fixture, { stream: true });
+        const whole = await fixtures.chat(fixture, {});
+        const text = readChunks(streamed.text).flatMap((chunk) => chunk.choices).map((one) => one.delta.content ?? "");
+        const answer = JSON.parse(whole.text) as { choices: { message: { content: string; }; }[]; usage: object; };
+        chai.expect(answer.choices[0]?.message.content).to.equal(text.join(""));
+        chai.expect(streamed.text).not.to.contain("usage");
+        const body = JSON.stringify({ model: "reader", prompt: "read this", max_tokens: 3 });
+        const completion = await fixtures.call(fixture, "/v1/completions", { method: "POST", body });
+        const { object, choices } = JSON.parse(completion.text) as { object: string; choices: { text: string; }[]; };
+        chai.expect(object).to.equal("text_completion");
+        chai.expect(choices[0]?.text.trim().split(" ")).to.have.length(3);
+    });
+
+    it("writes chunks that are JSON whatever the text is", () => {
+        for (const kind of [openai.CompletionKind.Chat, openai.CompletionKind.Text]) {
+            const writer = openai.makeChunkWriter({ id: "a", kind, model: "m", created: 1 }, true);
+            const texts = ['quote " and \n line', "\u2028", '{"content":'].map(writer.text);
+            const last = [writer.end("stop"), writer.usage({ promptTokens: 1, outputTokens: 2 })];
+            [...texts, ...last].forEach((text) => chai.expect(() => JSON.parse(text) as unknown, text).not.to.throw());
+        }
+    });
+
+    it("lists the models to callers with a key only", async () => {
+        const listed = await fixtures.call(fixture, "/v1/models");
+        chai.expect(JSON.parse(listed.text)).to.have.nested.property("data[0].id", "reader");
+        chai.expect(listed.headers["x-request-id"]).to.be.a("string");
+        const refused = await fixtures.send(`${fixture.callers}/v1/models`);
+        chai.expect(refused.status).to.equal(401);
+        chai.expect(readError(refused)).to.include({ reason: "unauthenticated", ran: "no" });
+        chai.expect(readError(refused).requestId).to.equal(refused.headers["x-request-id"]);
+    });
+
+    it("serves open routes without a key and HEAD without a body", async () => {
+        chai.expect((await fixtures.send(`${fixture.callers}/open/hours`)).status).to.equal(200);
+        const head = await fixtures.call(fixture, "/stock/lot-7", { method: "HEAD" });
+        chai.expect(head.status).to.equal(200);
+        chai.expect(head.text).to.equal("");
+        chai.expect(head.headers["content-length"]).to.equal(undefined);
+    });
+
+    it("asks for the body of a caller that waits for it only when the key is good", async () => {
+        const headers = { "expect": "100-continue", "content-length": "2" };
+        const asked = (key: string) =>
+            new Promise<boolean>((resolve, reject) => {
+                const request = http.request(`${fixture.callers}/stock`, {
+                    method: "POST",
+                    headers: { ...headers, authorization: `Bearer ${key}` },
+                });
+                request.on("continue", () => {
+                    resolve(true);
+                    request.end("{}");
+                });
+                request.on("response", (response) => {
+                    response.resume();
+                    resolve(false);
+                    request.destroy();
+                });
+                request.on("error", reject);
+                request.flushHeaders();
+            });
+        chai.expect(await asked(fixture.key)).to.equal(true);
+        chai.expect(await asked("unknown")).to.equal(false);
+    });
+
+    it("refuses at the caller's own deadline, at once", async () => {
+        await fixtures.setFaults(fixture.prefill, { frozen: true });
+        const refused = await fixtures.chat(fixture, { stream: true }, { "x-deadline-ms": "300" });
+        await fixtures.setFaults(fixture.prefill, { frozen: false });
+        chai.expect(refused.status).to.equal(504);
+        chai.expect(readError(refused).reason).to.equal("deadline-passed");
+        chai.expect(Number(refused.headers["retry-after"])).to.be.at.least(1);
+        const mistaken = await fixtures.chat(fixture, {}, { "x-deadline-ms": "soon" });
+        chai.expect(readError(mistaken).reason).to.equal("bad-request");
+        await fixtures.expectNothingHeld(fixture);
+    });
+
+    it("ends a request whose key is withdrawn while it runs", async () => {
+        const brief = configuration.makeKey();
+        await fixtures.putConfiguration(fixture.keyValue, 10, [fixture.key, brief]);
+        await fixtures.waitFor("the key", async () => {
+            const headers = { authorization: `Bearer ${brief}` };
+            return (await fixtures.send(`${fixture.callers}/v1/models`, { headers })).status === 200;
+        });
+        const headers = { authorization: `Bearer ${brief}` };
+        const running = fixtures.chat(fixture, { stream: true, max_tokens: 8_000 }, headers);
+        await fixtures.putConfiguration(fixture.keyValue, 11, [fixture.key]);
+        chai.expect((await running).text).to.contain("the key was withdrawn");
+        await fixtures.expectNothingHeld(fixture);
+    });
+});
