--- a/packages/router/src/control.ts
+++ b/packages/router/src/control.ts
@@ -9,10 +9,14 @@
     readonly openRequests: () => number;
 }
 
+/** A router that could not learn of an upstream for some pool by then is ready all the same, in milliseconds. */
+const READY_AT_LATEST_MS = 5_000;
+
 /** Opens the port for operators and the balancer: health, readiness, metrics, status and explanations. */
 export async function openControl(served: parts.Parts, state: ControlState): Promise<void> {
     const { context } = served;
-    const server = http.createServer((request, response) => void answer(served, state, request, response));
+    const watched = { ...state, ready: readyOnceStarted(served, state) };
+    const server = http.createServer((request, response) => void answer(served, watched, request, response));
     const { address, port } = context.settings.control;
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
@@ -26,6 +30,24 @@
     );
 }
 
+/** A router is not ready before it has joined the fleet and knows the upstreams; after that, until it stops. */
+function readyOnceStarted(served: parts.Parts, state: ControlState): () => boolean {
+    const { clock } = served.context;
+    const openedAt = clock();
+    let started = false;
+    return () => {
+        started ||= hasStarted(served, clock() - openedAt);
+        return started && state.ready();
+    };
+}
+
+function hasStarted({ configuration, membership, upstreams }: parts.Parts, sinceMs: number): boolean {
+    const fleet = configuration.current()?.fleet;
+    const complete = fleet !== undefined
+        && Object.keys(fleet.pools).every((pool) => upstreams.all(pool).length > 0);
+    return membership.settled() && (complete || sinceMs > READY_AT_LATEST_MS);
+}
+
 async function answer(
     served: parts.Parts,
     state: ControlState,
