--- a/packages/configuration/src/units.ts
+++ b/packages/configuration/src/units.ts
@@ -13,10 +13,11 @@
 
 function quantity(units: Readonly<Record<string, number>>, example: string) {
     const pattern = new RegExp(`^(\\d+(?:\\.\\d+)?)\\s*(${Object.keys(units).join("|")})$`);
-    return zod.string().transform((text, context) => {
+    const message = `expected a number with a unit, such as ${example}`;
+    return zod.string({ error: message }).transform((text, context) => {
         const match = pattern.exec(text);
         if (!match) {
-            context.addIssue({ code: "custom", message: `expected a number with a unit, such as ${example}` });
+            context.addIssue({ code: "custom", message });
             return zod.NEVER;
         }
         return Number(match[1]) * (units[match[2] ?? ""] ?? 0);
--- a/packages/demo/test/serving.test.ts
+++ b/packages/demo/test/serving.test.ts
@@ -1,7 +1,9 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as testing from "@citronlead/testing";
 import * as chai from "chai";
+import * as fs from "node:fs";
 import * as http from "node:http";
+import * as os from "node:os";
 import * as path from "node:path";
 import * as fleets from "../src/fleet.js";
 import * as processes from "../src/processes.js";
@@ -149,6 +151,23 @@
         chai.expect(answered?.["queueingMs"]).to.be.at.least(0);
     });
 
+    it("is driven by the load tool, which reports how it was served", async () => {
+        const file = path.join(os.tmpdir(), `citronlead-keys-${process.pid}.yaml`);
+        fs.writeFileSync(file, `guild: ${key}\n`);
+        const routers = fleet.routers.flatMap((router) => ["--router", router.callers]);
+        const engines = fleet.prefillEngines.flatMap((engine) => ["--engine", engine.address]);
+        const load = ["load", "--keys", file, "--rate", "20", "--count", "20", "--json", ...routers, ...engines];
+        const result = await processes.runCommand([processes.COMMAND, ...load]);
+        fs.rmSync(file);
+        chai.expect(result.code, result.errors).to.equal(0);
+        const report = JSON.parse(result.output) as { sent: number; outcomes: Record<string, number>; };
+        chai.expect(report.sent).to.equal(20);
+        // Only the guild's key is in the file.
+        chai.expect(report.outcomes["unauthenticated"]).to.be.greaterThan(0);
+        chai.expect(report.outcomes["answered"]).to.be.greaterThan(0);
+        chai.expect(report.outcomes).not.to.have.property("broken");
+    });
+
     it("cuts off no request when each router in turn stops gracefully under load", async () => {
         const problems: string[] = [];
         for (const router of fleet.routers) {
--- a/packages/upstream/src/assembly.ts
+++ b/packages/upstream/src/assembly.ts
@@ -75,3 +75,11 @@
 function resume(assembly: Assembly): decision.Transaction<Assembly, AssemblyAction> {
     return { state: assembly, actions: [{ kind: AssemblyActionKind.Resume, offset: assembly.next }] };
 }
+
+/** The assembly as a decision module. Its settings are empty. */
+export const assemblyModule: decision.DecisionModule<Record<string, never>, Assembly, contract.Piece, AssemblyAction> =
+    {
+        name: "assembly",
+        start: () => emptyAssembly,
+        decide: assemble,
+    };
