--- a/packages/router/src/admissionrights.ts
+++ b/packages/router/src/admissionrights.ts
@@ -2,7 +2,7 @@
 import * as decision from "@citronlead/decision";
 import * as lifecycle from "@citronlead/lifecycle";
 import * as membershipDecisions from "@citronlead/membership";
-import * as configurations from "./configurationshell.js";
+import * as configurationStore from "./configurationstore.js";
 import type * as contexts from "./context.js";
 import type * as memberships from "./membershipshell.js";
 
@@ -65,7 +65,7 @@
 
 /** Reads the newest revision that was accepted, or undefined when the service does not answer. */
 async function readFloor(context: contexts.Context): Promise<number | undefined> {
-    const outcome = await context.keyValue.read(configurations.CONFIGURATION_KEY);
+    const outcome = await context.keyValue.read(configurationStore.CONFIGURATION_KEY);
     if (outcome.effect !== decision.Effect.Known) {
         return undefined;
     }
--- a/packages/router/src/configurationexchange.ts
+++ b/packages/router/src/configurationexchange.ts
@@ -62,7 +62,7 @@
     reply(action: Action<propagation.PropagationActionKind.Reply>): void {
         const ages = action.witnesses.map(({ agoMs }) => Math.min(LONGEST_AGE, Math.ceil(agoMs / AGE_UNIT_MS)));
         this.send(action.peer, {
-            case: "revisionReply",
+            case: "revisionAnswer",
             value: {
                 exchange: action.exchange,
                 inForce: action.inForce,
@@ -103,7 +103,7 @@
                     revision: body.value.revision,
                     withWitnesses: body.value.withWitnesses,
                 });
-            case "revisionReply":
+            case "revisionAnswer":
                 return this.takeReply(sender, body.value);
             case "configurationRequest":
                 return this.hand(sender, body.value.hashes);
@@ -114,7 +114,7 @@
         }
     }
 
-    private takeReply(sender: string, reply: protocol.RevisionReply): void {
+    private takeReply(sender: string, reply: protocol.RevisionAnswer): void {
         const names = reply.witnesses.length > 0 ? this.namesByHash() : new Map<number, string>();
         const witnesses = reply.witnesses.flatMap((hash, index) => {
             const host = names.get(hash);
