Run a fleet of processes under seeded failures and check what must always hold

Cause: the decisions are proved by seeded runs without processes; nothing showed the joined router under kills, freezes, outages, lost answers and racing operators at once.

Ruled out: a cluster simulator. This starts the real processes with the stand-ins and a seeded schedule of failures.

Routers warn of close listeners piling up on a socket; to be found.

--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -39,6 +39,8 @@
     readonly name: string;
     readonly process: processes.RunningProcess;
     readonly address: string;
+    /** Starts the upstream again, at the same address, after its process has ended. */
+    readonly restart: () => Promise<processes.RunningProcess>;
 }
 
 /** A fleet that runs. */
@@ -82,11 +84,12 @@
             const port = upstreamPort++;
             const fullName = `${name}-${index + 1}`;
             const zone = options.availabilityZones[index % options.availabilityZones.length] ?? "zone-a";
-            const running = await startStandin(scope, [
-                ...[kind, "--address", "127.0.0.11", "--port", String(port), "--platform", platform],
-                ...["--name", fullName, "--zone", zone, ...parameters],
-            ]);
-            return { name: fullName, process: running, address: `http://127.0.0.11:${port}` };
+            const restart = () =>
+                startStandin(scope, [
+                    ...[kind, "--address", "127.0.0.11", "--port", String(port), "--platform", platform],
+                    ...["--name", fullName, "--zone", zone, ...parameters],
+                ]);
+            return { name: fullName, process: await restart(), address: `http://127.0.0.11:${port}`, restart };
         }));
     const engine = (role: string, count: number) =>
         startUpstreams("engine", count, `${options.modelPool}-${role}`, [
--- /dev/null
+++ b/packages/failures/src/faults.ts
@@ -0,0 +1,152 @@
+import type * as decision from "@citronlead/decision";
+import * as demo from "@citronlead/demo";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as path from "node:path";
+import type * as subjects from "./subjects.js";
+
+/** The kinds of failure. */
+export enum FaultKind {
+    KillRouter = "kill-router",
+    FreezeRouter = "freeze-router",
+    StopRouter = "stop-router",
+    KillEngine = "kill-engine",
+    SlowEngine = "slow-engine",
+    CutStreams = "cut-streams",
+    Outage = "outage",
+    SlowPlatform = "slow-platform",
+    LoseWriteAnswers = "lose-write-answers",
+    ServiceLosesAnswers = "service-loses-answers",
+    RaceOperators = "race-operators",
+}
+
+type Inject = (subject: subjects.Subjects, random: decision.Random) => Promise<string>;
+
+const FREEZE_MS = 14_000;
+const OUTAGE_MS = 15_000;
+const SLOW_MS = 4_000;
+const DOWN_MS = 1_500;
+
+/** Sends an order to a stand-in to misbehave. */
+export async function setFaults(address: string, faults: object): Promise<void> {
+    await fetch(`${address}/standin/faults`, { method: "PUT", body: JSON.stringify(faults) });
+}
+
+async function restartRouter(subject: subjects.Subjects, router: subjects.RouterSubject): Promise<void> {
+    router.process = await demo.startRouterProcess(subject.scope, router.router.settingsFile);
+    router.up = true;
+}
+
+/** Routers that may be taken: always so many are left that the fleet can serve. */
+function pickRouter(subject: subjects.Subjects, random: decision.Random): subjects.RouterSubject | undefined {
+    const up = subject.routers.filter((router) => router.up);
+    return up.length > 2 ? random.pick(up) : undefined;
+}
+
+const killRouter: Inject = async (subject, random) => {
+    const router = pickRouter(subject, random);
+    if (!router) {
+        return "no router to spare";
+    }
+    const disturbance: subjects.Disturbance = { from: lifecycle.monotonicClock(), until: Infinity };
+    router.disturbances.push(disturbance);
+    router.up = false;
+    router.process.child.kill("SIGKILL");
+    await router.process.ended;
+    await lifecycle.pause(subject.scope, DOWN_MS);
+    await restartRouter(subject, router);
+    disturbance.until = lifecycle.monotonicClock();
+    return router.router.host;
+};
+
+const freezeRouter: Inject = async (subject, random) => {
+    const router = pickRouter(subject, random);
+    if (!router) {
+        return "no router to spare";
+    }
+    const disturbance: subjects.Disturbance = { from: lifecycle.monotonicClock(), until: Infinity };
+    router.disturbances.push(disturbance);
+    router.up = false;
+    router.process.child.kill("SIGSTOP");
+    await lifecycle.pause(subject.scope, FREEZE_MS);
+    router.process.child.kill("SIGCONT");
+    router.up = true;
+    disturbance.until = lifecycle.monotonicClock();
+    return router.router.host;
+};
+
+const stopRouter: Inject = async (subject, random) => {
+    const router = pickRouter(subject, random);
+    if (!router) {
+        return "no router to spare";
+    }
+    router.up = false;
+    router.process.child.kill("SIGTERM");
+    const code = await router.process.ended;
+    await restartRouter(subject, router);
+    return `${router.router.host} exited with ${code}`;
+};
+
+const killEngine: Inject = async (subject, random) => {
+    const engine = random.pick(subject.engines);
+    engine.process.child.kill("SIGKILL");
+    await engine.process.ended;
+    await lifecycle.pause(subject.scope, DOWN_MS);
+    engine.process = await engine.engine.restart();
+    return engine.engine.name;
+};
+
+/** Lets a stand-in misbehave for a time. */
+function misbehave(
+    pick: (subject: subjects.Subjects, random: decision.Random) => string,
+    faults: object,
+    mended: object,
+    durationMs: decision.Milliseconds,
+): Inject {
+    return async (subject, random) => {
+        const address = pick(subject, random);
+        await setFaults(address, faults);
+        await lifecycle.pause(subject.scope, durationMs);
+        await setFaults(address, mended).catch(() => undefined);
+        return address;
+    };
+}
+
+const pickEngine = (subject: subjects.Subjects, random: decision.Random) => random.pick(subject.engines).engine.address;
+const pickPlatform = (subject: subjects.Subjects) => subject.fleet.platform;
+const pickService = (subject: subjects.Subjects, random: decision.Random) =>
+    random.pick(subject.fleet.services).address;
+
+const outage: Inject = async (subject, random) => {
+    const disturbance: subjects.Disturbance = { from: lifecycle.monotonicClock(), until: Infinity };
+    subject.outages.push(disturbance);
+    const away = misbehave(pickPlatform, { outage: true }, { outage: false }, OUTAGE_MS);
+    const result = await away(subject, random);
+    disturbance.until = lifecycle.monotonicClock();
+    return result;
+};
+
+const raceOperators: Inject = async (subject) => {
+    const file = path.join(demo.EXAMPLES, "pedra-macia.yaml");
+    const results = await Promise.all([1, 2, 3].map(() => subject.fleet.operate("apply", file, "--json")));
+    const at = lifecycle.monotonicClock();
+    for (const result of results.filter((candidate) => candidate.code === 0)) {
+        const { revision } = JSON.parse(result.output) as { revision: number; };
+        subject.accepted.push({ revision, at });
+    }
+    return results.map((result) => result.code).join(",");
+};
+
+/** How each kind of failure is brought about; the promise ends when it is mended. */
+export const injections: Readonly<Record<FaultKind, Inject>> = {
+    [FaultKind.KillRouter]: killRouter,
+    [FaultKind.FreezeRouter]: freezeRouter,
+    [FaultKind.StopRouter]: stopRouter,
+    [FaultKind.KillEngine]: killEngine,
+    [FaultKind.SlowEngine]: misbehave(pickEngine, { slowdown: 10 }, { slowdown: 1 }, SLOW_MS),
+    [FaultKind.CutStreams]: misbehave(pickEngine, { cutAfterTokens: 3 }, { cutAfterTokens: 0 }, SLOW_MS),
+    [FaultKind.Outage]: outage,
+    [FaultKind.SlowPlatform]: misbehave(pickPlatform, { delayMs: 300 }, { delayMs: 0 }, SLOW_MS),
+    [FaultKind.LoseWriteAnswers]: misbehave(pickPlatform, { dropWriteAnswers: 5 }, { dropWriteAnswers: 0 }, SLOW_MS),
+    [FaultKind.ServiceLosesAnswers]: misbehave(pickService, { dropAnswers: 3 }, { dropAnswers: 0 }, SLOW_MS),
+    [FaultKind.RaceOperators]: raceOperators,
+};
