--- /dev/null
+++ b/packages/orders/test/rolling.seeded.test.ts
@@ -0,0 +1,183 @@
+import * as decision from "@citronlead/decision";
+import * as testing from "@citronlead/testing";
+import * as chai from "chai";
+import * as orders from "../src/index.js";
+
+const CI_SEEDS = Array.from({ length: 30 }, (_, index) => index + 1);
+const STEP_MS = 250;
+const RUN_MS = 600_000;
+const RIGHT_MS = 9_000;
+const LONGEST_ORDER_MS = 5_000;
+const SLOTS = 20;
+const RATE = { sizeBytes: 20e9, rateBytesPerSecond: 5e9 };
+const LOAD_MS = RATE.sizeBytes / RATE.rateBytesPerSecond * decision.SECOND_MS;
+
+interface FakeEngine {
+    readonly name: string;
+    readonly decodes: boolean;
+    version: string;
+    running: number;
+    loadsUntil: number;
+    highestFencing: number;
+    readonly orderIds: Set<string>;
+}
+
+interface FakeOwner {
+    state: orders.RollingState;
+    right: orders.OrderRight | undefined;
+    pausedUntil: number;
+    /** Events that arrived during a pause. */
+    readonly backlog: orders.RollingEvent[];
+}
+
+/** Two hosts that own the pool in turn, engines that take late orders, and pauses of either host. */
+class Run {
+    now = 0;
+    wanted = "1";
+    fencing = 0;
+    changes = 0;
+    readonly engines: FakeEngine[];
+    readonly owners: readonly FakeOwner[];
+    private readonly later: { at: number; run: () => void; }[] = [];
+
+    constructor(readonly random: decision.Random, readonly checksFencing: boolean) {
+        const settings = {
+            pool: "redac",
+            checksFencing,
+            longestOrderMs: LONGEST_ORDER_MS,
+            longestDrainMs: 10_000,
+        };
+        const count = random.integer(4, 9);
+        this.engines = Array.from({ length: count }, (_, index) => ({
+            ...{ name: `engine-${index}`, decodes: index >= 2, version: "1", running: 0, loadsUntil: 0 },
+            ...{ highestFencing: 0, orderIds: new Set<string>() },
+        }));
+        this.owners = [0, 1].map(() => ({
+            ...{ state: orders.startRolling(settings), right: undefined, pausedUntil: 0, backlog: [] },
+        }));
+    }
+
+    get minimumSlots(): number {
+        return SLOTS * (this.engines.filter((engine) => engine.decodes).length - 1);
+    }
+
+    step(): void {
+        this.now += STEP_MS;
+        this.later.filter((item) => item.at <= this.now).forEach((item) => {
+            this.later.splice(this.later.indexOf(item), 1);
+            item.run();
+        });
+        this.passRight();
+        this.engines.forEach((engine) => engine.running = this.random.chance(0.5) ? 0 : 3);
+        this.owners.forEach((owner) => this.observe(owner));
+        const inService = this.engines.filter((engine) => engine.decodes && engine.loadsUntil <= this.now);
+        decision.invariant(inService.length * SLOTS >= this.minimumSlots, "too few slots in service");
+    }
+
+    /** A right is renewed while its holder runs, and passes to the other host after it has ended. */
+    private passRight(): void {
+        const holder = this.owners.find((owner) => owner.right !== undefined && owner.right.until > this.now);
+        if (holder?.right && holder.pausedUntil <= this.now && !this.random.chance(0.02)) {
+            holder.right = { ...holder.right, until: this.now + RIGHT_MS };
+        }
+        else if (!holder) {
+            const next = this.random.pick(this.owners);
+            this.owners.forEach((owner) => owner.right = undefined);
+            next.right = { fencing: ++this.fencing, until: this.now + RIGHT_MS };
+        }
+        if (this.random.chance(0.01)) {
+            const paused = this.random.pick(this.owners);
+            paused.pausedUntil = this.now + this.random.exponential(15_000);
+        }
+    }
+
+    private observe(owner: FakeOwner): void {
+        const engines = this.engines.map(({ name, decodes, version, running, loadsUntil }) => ({
+            ...{ name, decodes, model: "redac", version, slots: SLOTS, running },
+            usable: loadsUntil <= this.now || this.random.chance(0.5),
+        }));
+        const right = owner.right && owner.right.until > this.now ? owner.right : undefined;
+        const seen = {
+            ...{ right, engines, wanted: { redac: this.wanted }, weightShare: 1 },
+            minimumSlots: this.minimumSlots,
+        };
+        this.deliver(owner, { kind: orders.EventKind.Observed, seen });
+    }
+
+    private deliver(owner: FakeOwner, event: orders.RollingEvent): void {
+        if (owner.pausedUntil > this.now) {
+            if (event.kind !== orders.EventKind.Observed) {
+                owner.backlog.push(event);
+            }
+            return;
+        }
+        for (const waiting of [...owner.backlog.splice(0), event]) {
+            const next = orders.decideRolling(owner.state, waiting, this.now);
+            owner.state = next.state;
+            next.actions.forEach((action) => this.carryOut(owner, action));
+        }
+    }
+
+    private carryOut(owner: FakeOwner, action: orders.RollingAction): void {
+        if (action.kind === orders.ActionKind.ReadWeights) {
+            const { model, version } = action;
+            this.deliver(owner, { kind: orders.EventKind.WeightsRead, model, version, weights: RATE });
+            return;
+        }
+        const { orderId } = action;
+        const answer = (result: orders.OrderResult) =>
+            this.deliver(owner, { kind: orders.EventKind.OrderAnswered, orderId, result });
+        const arrives = this.random.fraction() * action.timeoutMs;
+        const lost = this.random.chance(0.2);
+        if (!this.random.chance(0.1)) {
+            this.at(arrives, () => {
+                const result = this.take(action);
+                if (!lost) {
+                    answer(result);
+                }
+            });
+        }
+        this.at(action.timeoutMs, () => answer(orders.OrderResult.Unknown));
+    }
+
+    private at(afterMs: number, run: () => void): void {
+        this.later.push({ at: this.now + afterMs, run });
+    }
+
+    private take(action: Extract<orders.RollingAction, { kind: orders.ActionKind.SendOrder; }>): orders.OrderResult {
+        const engine = this.engines.find((candidate) => candidate.name === action.engine) as FakeEngine;
+        if (this.checksFencing && action.fencing < engine.highestFencing) {
+            return orders.OrderResult.Stale;
+        }
+        const newest = Math.max(...this.engines.map((candidate) => candidate.highestFencing));
+        decision.invariant(
+            this.checksFencing || action.fencing >= newest,
+            () => `an order with fencing ${action.fencing} took effect after one with ${newest}`,
+        );
+        engine.highestFencing = action.fencing;
+        if (!engine.orderIds.has(action.orderId) && engine.version !== action.version) {
+            engine.orderIds.add(action.orderId);
+            engine.loadsUntil = this.now + LOAD_MS;
+            this.changes++;
+            this.at(LOAD_MS, () => engine.version = action.version);
+        }
+        return orders.OrderResult.Taken;
+    }
+}
+
+describe("orders, under random faults", () => {
+    for (const checksFencing of [true, false]) {
+        it(`keep slots in service and come from one owner, fencing ${checksFencing ? "checked" : "ignored"}`, () => {
+            let changes = 0;
+            testing.forEachSeed(CI_SEEDS, (seed) => {
+                const run = new Run(decision.seeded(seed), checksFencing);
+                while (run.now < RUN_MS) {
+                    run.step();
+                    run.wanted = run.random.chance(0.001) ? String(run.random.integer(2, 99)) : run.wanted;
+                }
+                changes += run.changes;
+            });
+            chai.expect(changes).to.be.above(0);
+        });
+    }
+});
