--- a/packages/orders/test/rolling.seeded.test.ts
+++ b/packages/orders/test/rolling.seeded.test.ts
@@ -9,8 +9,12 @@
 const RIGHT_MS = 9_000;
 const LONGEST_ORDER_MS = 5_000;
 const SLOTS = 20;
-const RATE = { sizeBytes: 20e9, rateBytesPerSecond: 5e9 };
-const LOAD_MS = RATE.sizeBytes / RATE.rateBytesPerSecond * decision.SECOND_MS;
+/** How often a right is renewed at a step; now and then it comes close to its end. */
+const RENEWAL_SHARE = 0.1;
+/** How long a process may stand still between its decision and the sending of an order, in milliseconds. */
+const LONGEST_STALL_MS = 2_000;
+const RATE_BYTES_PER_SECOND = 1.25e9;
+const SIZES_BYTES = [0.2e9, 20e9];
 
 interface FakeEngine {
     readonly name: string;
@@ -37,6 +41,7 @@
     fencing = 0;
     changes = 0;
     readonly engines: FakeEngine[];
+    readonly weights: orders.Weights;
     readonly owners: readonly FakeOwner[];
     private readonly later: { at: number; run: () => void; }[] = [];
 
@@ -47,6 +52,7 @@
             longestOrderMs: LONGEST_ORDER_MS,
             longestDrainMs: 10_000,
         };
+        this.weights = { sizeBytes: random.pick(SIZES_BYTES), rateBytesPerSecond: RATE_BYTES_PER_SECOND };
         const count = random.integer(4, 9);
         this.engines = Array.from({ length: count }, (_, index) => ({
             ...{ name: `engine-${index}`, decodes: index >= 2, version: "1", running: 0, loadsUntil: 0 },
@@ -77,7 +83,7 @@
     /** A right is renewed while its holder runs, and passes to the other host after it has ended. */
     private passRight(): void {
         const holder = this.owners.find((owner) => owner.right !== undefined && owner.right.until > this.now);
-        if (holder?.right && holder.pausedUntil <= this.now && !this.random.chance(0.02)) {
+        if (holder?.right && holder.pausedUntil <= this.now && this.random.chance(RENEWAL_SHARE)) {
             holder.right = { ...holder.right, until: this.now + RIGHT_MS };
         }
         else if (!holder) {
@@ -121,13 +127,14 @@
     private carryOut(owner: FakeOwner, action: orders.RollingAction): void {
         if (action.kind === orders.ActionKind.ReadWeights) {
             const { model, version } = action;
-            this.deliver(owner, { kind: orders.EventKind.WeightsRead, model, version, weights: RATE });
+            this.deliver(owner, { kind: orders.EventKind.WeightsRead, model, version, weights: this.weights });
             return;
         }
         const { orderId } = action;
         const answer = (result: orders.OrderResult) =>
             this.deliver(owner, { kind: orders.EventKind.OrderAnswered, orderId, result });
-        const arrives = this.random.fraction() * action.timeoutMs;
+        const stallMs = this.random.chance(0.2) ? this.random.fraction() * LONGEST_STALL_MS : 0;
+        const arrives = stallMs + this.random.fraction() * action.timeoutMs;
         const lost = this.random.chance(0.2);
         if (!this.random.chance(0.1)) {
             this.at(arrives, () => {
@@ -137,7 +144,7 @@
                 }
             });
         }
-        this.at(action.timeoutMs, () => answer(orders.OrderResult.Unknown));
+        this.at(stallMs + action.timeoutMs, () => answer(orders.OrderResult.Unknown));
     }
 
     private at(afterMs: number, run: () => void): void {
@@ -157,9 +164,10 @@
         engine.highestFencing = action.fencing;
         if (!engine.orderIds.has(action.orderId) && engine.version !== action.version) {
             engine.orderIds.add(action.orderId);
-            engine.loadsUntil = this.now + LOAD_MS;
+            const loadMs = this.weights.sizeBytes / this.weights.rateBytesPerSecond * decision.SECOND_MS;
+            engine.loadsUntil = this.now + loadMs;
             this.changes++;
-            this.at(LOAD_MS, () => engine.version = action.version);
+            this.at(loadMs, () => engine.version = action.version);
         }
         return orders.OrderResult.Taken;
     }
@@ -173,7 +181,7 @@
                 const run = new Run(decision.seeded(seed), checksFencing);
                 while (run.now < RUN_MS) {
                     run.step();
-                    run.wanted = run.random.chance(0.001) ? String(run.random.integer(2, 99)) : run.wanted;
+                    run.wanted = run.random.chance(0.005) ? String(run.random.integer(2, 99)) : run.wanted;
                 }
                 changes += run.changes;
             });
--- /dev/null
+++ b/packages/router/src/orderscalls.ts
@@ -0,0 +1,60 @@
+import * as decision from "@citronlead/decision";
+import * as orders from "@citronlead/orders";
+import * as platform from "@citronlead/platform";
+import * as upstream from "@citronlead/upstream";
+import type * as contexts from "./context.js";
+import type * as upstreams from "./upstreams.js";
+
+/** An order that the decisions ask for. */
+export type SendOrder = Extract<orders.RollingAction, { kind: orders.ActionKind.SendOrder; }>;
+
+type ReadWeights = Extract<orders.RollingAction, { kind: orders.ActionKind.ReadWeights; }>;
+
+/** Whether an engine holds decode slots. */
+export function decodes(load: upstream.LoadReport): boolean {
+    return load.role === upstream.EngineRole.Decode;
+}
+
+/** Asks the weight store for a version. Returns nothing if the store is not known or does not answer. */
+export async function readWeights(
+    context: contexts.Context,
+    action: ReadWeights,
+): Promise<orders.RollingEvent | undefined> {
+    const { weightStore, timeout } = context.settings.platform;
+    const { model, version } = action;
+    if (weightStore === undefined) {
+        return undefined;
+    }
+    const outcome = await platform.readWeights(weightStore, model, version, timeout);
+    const weights = outcome.effect === decision.Effect.Known ? outcome.value : undefined;
+    return weights && { kind: orders.EventKind.WeightsRead, model, version, weights };
+}
+
+/** Gives an order and returns the event that answers. */
+export async function sendOrder(
+    context: contexts.Context,
+    target: upstreams.KnownUpstream,
+    action: SendOrder,
+): Promise<orders.RollingEvent> {
+    const { model, version, fencing, orderId, timeoutMs } = action;
+    const outcome = await upstream.order(
+        { address: target.address, agent: context.agent, timeoutMs },
+        { kind: upstream.OrderKind.LoadVersion, model, version, fencing, orderId },
+    );
+    context.metrics.upstreamCalls.inc({ call: "order", result: outcome.result });
+    return { kind: orders.EventKind.OrderAnswered, orderId, result: toResult(outcome) };
+}
+
+function toResult(outcome: upstream.CallOutcome<unknown>): orders.OrderResult {
+    switch (outcome.result) {
+        case upstream.CallResult.Done:
+            return orders.OrderResult.Taken;
+        case upstream.CallResult.Refused:
+            return outcome.refusal === upstream.UpstreamRefusal.StaleFencing
+                ? orders.OrderResult.Stale
+                : orders.OrderResult.Refused;
+        case upstream.CallResult.Unreachable:
+        case upstream.CallResult.Broken:
+            return orders.OrderResult.Unknown;
+    }
+}
--- a/packages/router/test/membership.test.ts
+++ b/packages/router/test/membership.test.ts
@@ -1,22 +1,13 @@
-import * as configuration from "@citronlead/configuration";
 import * as lifecycle from "@citronlead/lifecycle";
 import * as membership from "@citronlead/membership";
-import * as platform from "@citronlead/platform";
 import * as standins from "@citronlead/standins";
 import * as testing from "@citronlead/testing";
 import * as chai from "chai";
-import * as crypto from "node:crypto";
-import * as http from "node:http";
-import type * as contexts from "../src/context.js";
-import * as logs from "../src/log.js";
 import * as memberships from "../src/membershipshell.js";
-import * as metrics from "../src/metrics.js";
 import * as peers from "../src/peers.js";
-import * as traces from "../src/trace.js";
-import * as traffic from "../src/traffic.js";
+import * as membershipContexts from "./membershipcontext.js";
 
 const PORT_OFFSET = 400;
-const ZONES = ["braga-a", "porto-b", "gmr-c"];
 /** Short lives, so that the tests need not wait for long ones; every rule stays as it is. */
 const TIMING: membership.Timing = { leaseMs: 3_000, promiseMs: 3_000, graceMs: 200 };
 const PARTITIONS = membership.allPartitions();
@@ -27,40 +18,9 @@
     readonly host: string;
 }
 
-function makeContext(scope: lifecycle.Lifecycle, index: number, platformPort: number): contexts.Context {
-    const service = `http://127.0.0.1:${platformPort}`;
-    const port = platformPort + 1 + index;
-    const endpoint = { address: "127.0.0.31", port };
-    const settings = configuration.routerSettingsSchema.parse({
-        host: `host-${index}`,
-        availabilityZone: ZONES[index % ZONES.length],
-        callers: endpoint,
-        peers: endpoint,
-        control: endpoint,
-        platform: { keyValue: [service], hostList: service },
-        log: { level: "silent" },
-    });
-    const incarnation = crypto.randomUUID();
-    const agent = new http.Agent({ keepAlive: true });
-    scope.own(() => agent.destroy());
-    const measured = metrics.makeMetrics();
-    return {
-        settings,
-        incarnation,
-        scope,
-        agent,
-        clock: lifecycle.monotonicClock,
-        log: logs.makeLog(settings, incarnation),
-        metrics: measured,
-        control: traffic.countControlTraffic(scope, measured.registry),
-        traces: traces.makeTraces(settings.host, 1, lifecycle.monotonicClock),
-        keyValue: platform.connectKeyValue({ addresses: [service], timeoutMs: 500, agent }),
-    };
-}
-
 async function startMember(parent: lifecycle.Lifecycle, index: number, platformPort: number): Promise<Member> {
     const scope = parent.child(`host-${index}`);
-    const context = makeContext(scope, index, platformPort);
+    const context = membershipContexts.makeContext(scope, index, platformPort);
     const links = await peers.openPeers(context);
     const started = memberships.startMembership(context, links, TIMING);
     return { scope, membership: started, host: context.settings.host };
--- /dev/null
+++ b/packages/router/test/membershipcontext.ts
@@ -0,0 +1,44 @@
+import * as configuration from "@citronlead/configuration";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as platform from "@citronlead/platform";
+import * as crypto from "node:crypto";
+import * as http from "node:http";
+import type * as contexts from "../src/context.js";
+import * as logs from "../src/log.js";
+import * as metrics from "../src/metrics.js";
+import * as traces from "../src/trace.js";
+import * as traffic from "../src/traffic.js";
+
+const ZONES = ["braga-a", "porto-b", "gmr-c"];
+
+/** The context of a router in the test's process, with the platform's stand-in at a port. */
+export function makeContext(scope: lifecycle.Lifecycle, index: number, platformPort: number): contexts.Context {
+    const service = `http://127.0.0.1:${platformPort}`;
+    const port = platformPort + 1 + index;
+    const endpoint = { address: "127.0.0.31", port };
+    const settings = configuration.routerSettingsSchema.parse({
+        host: `host-${index}`,
+        availabilityZone: ZONES[index % ZONES.length],
+        callers: endpoint,
+        peers: endpoint,
+        control: endpoint,
+        platform: { keyValue: [service], hostList: service, weightStore: service },
+        log: { level: "silent" },
+    });
+    const incarnation = crypto.randomUUID();
+    const agent = new http.Agent({ keepAlive: true });
+    scope.own(() => agent.destroy());
+    const measured = metrics.makeMetrics();
+    return {
+        settings,
+        incarnation,
+        scope,
+        agent,
+        clock: lifecycle.monotonicClock,
+        log: logs.makeLog(settings, incarnation),
+        metrics: measured,
+        control: traffic.countControlTraffic(scope, measured.registry),
+        traces: traces.makeTraces(settings.host, 1, lifecycle.monotonicClock),
+        keyValue: platform.connectKeyValue({ addresses: [service], timeoutMs: 500, agent }),
+    };
+}
