Name two successors, so that a death in an outage stops nobody else

From six hosts on a record names two successors; any promise counts, and a takeover needs every other successor's consent, which it gives once its own promise has lapsed and after which it refuses that version of the record for good.

--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -1,4 +1,5 @@
 import * as decision from "@citronlead/decision";
+import * as consents from "./consent.js";
 import * as leases from "./lease.js";
 import * as ownership from "./ownership.js";
 import * as promises from "./promise.js";
@@ -25,7 +26,14 @@
 };
 
 /** What is looked at after each event, in this order. */
-const PLANS: readonly Plan[] = [leases.planLease, planRelease, swaps.planSwap, promises.planAsk, planLeft];
+const PLANS: readonly Plan[] = [
+    leases.planLease,
+    planRelease,
+    swaps.planSwap,
+    promises.planAsk,
+    consents.planConsents,
+    planLeft,
+];
 
 function take(state: states.MemberState, event: states.MemberEvent, now: decision.Milliseconds): Step {
     switch (event.kind) {
--- a/packages/membership/src/promise.ts
+++ b/packages/membership/src/promise.ts
@@ -1,6 +1,8 @@
 import * as decision from "@citronlead/decision";
+import * as consents from "./consent.js";
 import * as durations from "./durations.js";
 import * as leases from "./lease.js";
+import * as records from "./records.js";
 import * as rights from "./rights.js";
 import * as rules from "./rules.js";
 import * as states from "./state.js";
@@ -8,27 +10,34 @@
 type Step = decision.Transaction<states.MemberState, states.MemberAction>;
 
 /** Requests that are remembered; an answer to an older one is dropped. */
-const ASKS_LIMIT = 4;
+const ASKS_LIMIT = 8;
 
-/** Asks the named successor for its promise when it is time. */
+/** Asks the named successors for their promises when it is time. */
 export function planAsk(state: states.MemberState, now: decision.Milliseconds): Step {
     const { own } = state;
-    const successor = own?.record.successor;
-    if (!own || !successor || state.left || own.version === state.barredVersion || now < state.nextAskAt) {
+    if (!own || state.left || own.version === state.barredVersion || now < state.nextAskAt) {
         return decision.unchanged(state);
     }
-    const number = state.count + 1;
-    const ask: states.Ask = { call: number, askedAt: now, version: own.version };
-    const message: states.MemberMessage = {
-        kind: states.MessageKind.Request,
-        number,
-        incarnation: state.settings.incarnation,
-        version: own.version,
-    };
-    const asks = [...state.asks.slice(1 - ASKS_LIMIT), ask];
+    const { version, record: { successors } } = own;
+    const { incarnation, timing } = state.settings;
+    const asks = successors.map(({ host }, index): states.Ask => ({
+        call: state.count + 1 + index,
+        askedAt: now,
+        version,
+        successor: host,
+    }));
     return {
-        state: { ...state, count: number, asks, nextAskAt: now + state.settings.timing.promiseMs / durations.RENEWALS },
-        actions: [{ kind: states.ActionKind.Send, host: successor.host, message }],
+        state: {
+            ...state,
+            count: state.count + asks.length,
+            asks: [...state.asks, ...asks].slice(-ASKS_LIMIT),
+            nextAskAt: now + timing.promiseMs / durations.RENEWALS,
+        },
+        actions: asks.map(({ successor, call: number }) => ({
+            kind: states.ActionKind.Send,
+            host: successor,
+            message: { kind: states.MessageKind.Request, number, incarnation, version },
+        })),
     };
 }
 
@@ -39,9 +48,8 @@
     now: decision.Milliseconds,
 ): Step {
     const { message, host } = event;
-    const answersOther = message.kind !== states.MessageKind.Request
-        && message.incarnation !== state.settings.incarnation;
-    if (answersOther) {
+    const asks = message.kind === states.MessageKind.Request || message.kind === states.MessageKind.ConsentRequest;
+    if (!asks && message.incarnation !== state.settings.incarnation) {
         return decision.unchanged(state);
     }
     switch (message.kind) {
@@ -51,6 +59,10 @@
             return decision.unchanged(takeGrant(state, host, message.number, message.durationMs, now));
         case states.MessageKind.Refusal:
             return decision.unchanged(takeRefusal(state, host, message, now));
+        case states.MessageKind.ConsentRequest:
+            return consents.answerRequest(state, host, message, now);
+        case states.MessageKind.Consent:
+            return decision.unchanged(consents.takeConsent(state, host, message));
     }
 }
 
@@ -82,16 +94,13 @@
     now: decision.Milliseconds,
 ): states.Refusal | undefined {
     const { settings, own, view } = state;
+    const asker = view.hosts[host];
     const ownRight = own !== undefined && rights.holdsRight(state, now) && !state.stopping;
     if (!ownRight && rules.inForce(settings, rules.Rule.GiveWithinOwnRight)) {
         return states.Refusal.NoRight;
     }
-    const asker = view.hosts[host];
-    const successor = asker?.record.successor;
-    const named = asker?.version === request.version
-        && asker.record.incarnation === request.incarnation
-        && successor?.host === settings.host
-        && successor.session === own?.created;
+    const named = asker?.record.incarnation === request.incarnation
+        && records.namesAt(asker, request.version, { host: settings.host, session: own?.created ?? 0 });
     if (!named && rules.inForce(settings, rules.Rule.NamedInRecord)) {
         return states.Refusal.NotNamed;
     }
@@ -106,7 +115,7 @@
     now: decision.Milliseconds,
 ): states.MemberState {
     const ask = state.asks.find((candidate) => candidate.call === number);
-    if (!ask || ask.version !== state.own?.version || state.own.record.successor?.host !== host) {
+    if (!ask || ask.version !== state.own?.version || ask.successor !== host) {
         return state;
     }
     const until = leases.holderUntil(state.settings, ask.askedAt, now, durationMs);
@@ -121,10 +130,12 @@
     now: decision.Milliseconds,
 ): states.MemberState {
     const ask = state.asks.find((candidate) => candidate.call === refusal.number);
-    if (!ask || ask.version !== state.own?.version || state.own.record.successor?.host !== host) {
+    if (!ask || ask.version !== state.own?.version || ask.successor !== host) {
         return state;
     }
     const rewriteWanted = state.rewriteWanted || refusal.reason === states.Refusal.TakeoverAsked;
-    const nextAskAt = Math.min(state.nextAskAt, now + durations.PROMISE_RETRY_MS);
+    // While another successor's promise lasts, there is no hurry.
+    const lapsesSoon = (state.promised?.until ?? -Infinity) - now < state.settings.timing.promiseMs / 2;
+    const nextAskAt = lapsesSoon ? Math.min(state.nextAskAt, now + durations.PROMISE_RETRY_MS) : state.nextAskAt;
     return { ...state, rewriteWanted, nextAskAt };
 }
--- a/packages/membership/src/records.ts
+++ b/packages/membership/src/records.ts
@@ -17,8 +17,8 @@
 export interface HostRecord extends HostId {
     readonly availabilityZone: string;
     readonly peerAddress: string;
-    /** The only host whose promise counts for this one, or undefined while it is alone. */
-    readonly successor?: Successor;
+    /** The only hosts whose promises count for this one; none while it is alone. */
+    readonly successors: readonly Successor[];
 }
 
 /** A host as read from the key-value service. */
@@ -89,9 +89,10 @@
     return hosts;
 }
 
-/** Whether both name the same successor. */
-export function sameSuccessor(left: Successor | undefined, right: Successor | undefined): boolean {
-    return left?.host === right?.host && left?.session === right?.session;
+/** Whether both name the same successors in the same order. */
+export function sameSuccessors(left: readonly Successor[], right: readonly Successor[]): boolean {
+    const names = (successors: readonly Successor[]) => successors.map((one) => `${one.host}@${one.session}`).join();
+    return names(left) === names(right);
 }
 
 /** Whether the record that a successor was named by is still there. */
@@ -118,3 +119,9 @@
 export function liveHosts(view: View): readonly HostRecord[] {
     return Object.values(view.hosts).filter((seen) => seen.leaseId !== undefined).map((seen) => seen.record);
 }
+
+/** Whether a host's record names a successor under this version. */
+export function namesAt(seen: SeenHost, version: number, successor: Successor): boolean {
+    return seen.version === version
+        && seen.record.successors.some((one) => one.host === successor.host && one.session === successor.session);
+}
--- a/packages/membership/src/roster.ts
+++ b/packages/membership/src/roster.ts
@@ -24,7 +24,8 @@
         ...stays,
         unleasedSince: unleasedSince(state.unleasedSince, view, now),
         goneSince: goneSince(state.goneSince, view, now),
-        refusing: stillRefusing(state, view),
+        refusing: ofThisVersion(state.refusing, view),
+        consents: ofThisVersion(state.consents, view),
     });
 }
 
@@ -98,19 +99,21 @@
 }
 
 function goneSince(former: Times, view: records.View, now: decision.Milliseconds): Times {
-    const named = Object.values(view.hosts).flatMap((seen) => seen.record.successor ?? []);
+    const named = Object.values(view.hosts).flatMap((seen) => seen.record.successors);
     const gone = named.filter((successor) => !records.isThere(view, successor));
     return keepFirst(former, gone.map((successor) => stayOf(successor.host, successor.session)), now);
 }
 
-/** A refusal ends when the record has a newer version: no takeover of the former one can take effect any more. */
-function stillRefusing(
-    state: states.MemberState,
+/**
+ * Refusals and consents end when the record has a newer version: no takeover of the former one can take effect any more.
+ */
+function ofThisVersion<Item extends { readonly version: number; }>(
+    items: Readonly<Record<string, Item>>,
     view: records.View,
-): Readonly<Record<string, states.Refusing>> {
-    const entries = Object.entries(state.refusing);
-    const still = entries.filter(([host, refusing]) => records.versionOf(view, host) === refusing.version);
-    return still.length === entries.length ? state.refusing : Object.fromEntries(still);
+): Readonly<Record<string, Item>> {
+    const entries = Object.entries(items);
+    const still = entries.filter(([host, item]) => records.versionOf(view, host) === item.version);
+    return still.length === entries.length ? items : Object.fromEntries(still);
 }
 
 /** Forgets the partitions that the table gives to others, and those whose next owner is gone. */
--- a/packages/membership/src/rules.ts
+++ b/packages/membership/src/rules.ts
@@ -14,6 +14,10 @@
     TakeOverAfterPromise = "4",
     /** 4, lease: a successor takes over only when the lease in the key-value service is gone. */
     TakeOverAfterLease = "4-lease",
+    /** 4, consent: a successor takes over only when every other one has agreed or is gone. */
+    TakeOverAfterConsent = "4-consent",
+    /** 5, consent: who has agreed to a takeover promises nothing more under that version of the record. */
+    RefuseAfterConsent = "5-consent",
     /** 5a: a successor stops promising before it asks for the takeover. */
     RefuseBeforeTakeover = "5a",
     /** 5b: it goes on refusing until it has read whether an unanswered takeover took effect. */
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -14,7 +14,7 @@
     readonly omit?: readonly rules.Rule[];
 }
 
-/** What a host asks of its successor and is told. */
+/** What hosts ask of successors and are told. */
 export type MemberMessage =
     | {
         readonly kind: MessageKind.Request;
@@ -35,6 +35,16 @@
         readonly number: number;
         readonly incarnation: string;
         readonly reason: Refusal;
+    }
+    | {
+        /** Asks another successor of a host to promise it nothing more, and whether its promise has lapsed. */
+        readonly kind: MessageKind.ConsentRequest | MessageKind.Consent;
+        /** The asker's incarnation. */
+        readonly incarnation: string;
+        /** The host that may be dead. */
+        readonly target: string;
+        /** The version of the target's record. */
+        readonly version: number;
     };
 
 /** The kinds of message. */
@@ -42,6 +52,10 @@
     Request = "request",
     Grant = "grant",
     Refusal = "refusal",
+    /** Asks for leave to take over a host that has several successors. */
+    ConsentRequest = "consent-request",
+    /** Gives leave: the giver's promise has lapsed and it gives none any more under this version. */
+    Consent = "consent",
 }
 
 /** Why no promise is given. */
@@ -173,13 +187,14 @@
     readonly target?: string;
 }
 
-/** A request to the successor that may still be answered. */
+/** A request to a successor that may still be answered. */
 export interface Ask extends Call {
+    readonly successor: string;
     /** The version of the own record that it named. */
     readonly version: number;
 }
 
-/** The successor's promise. */
+/** The promise of a successor that lasts longest. */
 export interface Promised {
     readonly until: decision.Milliseconds;
     /** The version of the own record under which it was given. */
@@ -193,6 +208,12 @@
     readonly unanswered: boolean;
 }
 
+/** The other successors that agree to the takeover of a host under one version of its record. */
+export interface Consents {
+    readonly version: number;
+    readonly from: readonly string[];
+}
+
 /** Partitions that this host stopped acting for. */
 export interface HandOver {
     readonly number: number;
@@ -226,6 +247,8 @@
     /** Until when this host has promised each other one not to take it over, on this host's clock. */
     readonly given: Readonly<Record<string, decision.Milliseconds>>;
     readonly refusing: Readonly<Record<string, Refusing>>;
+    readonly consents: Readonly<Record<string, Consents>>;
+    readonly nextConsentAt: decision.Milliseconds;
     /** Since when hosts have been seen without their lease, by host and the revision that made their record. */
     readonly unleasedSince: Readonly<Record<string, decision.Milliseconds>>;
     /** Since when named successors have been seen to be gone. */
@@ -253,6 +276,8 @@
         rewriteWanted: false,
         given: {},
         refusing: {},
+        consents: {},
+        nextConsentAt: now,
         unleasedSince: {},
         goneSince: {},
         wanted: {},
--- a/packages/membership/src/swaps.ts
+++ b/packages/membership/src/swaps.ts
@@ -71,7 +71,7 @@
 
 function ownRecord(settings: states.MemberSettings): records.HostRecord {
     const { host, incarnation, availabilityZone, peerAddress } = settings;
-    return { host, incarnation, availabilityZone, peerAddress };
+    return { host, incarnation, availabilityZone, peerAddress, successors: [] };
 }
 
 /**
@@ -127,15 +127,18 @@
     now: decision.Milliseconds,
 ): records.HostRecord | undefined {
     const { own, view, settings } = state;
-    const next = own && wanted.wantedSuccessor(own.record, usableHosts(state, now));
-    const session = next && view.hosts[next.host]?.created;
-    const successor = next && session !== undefined ? { host: next.host, session } : undefined;
-    return successor && (state.rewriteWanted || !records.sameSuccessor(own?.record.successor, successor))
-        ? { ...ownRecord(settings), successor }
-        : undefined;
+    if (!own) {
+        return undefined;
+    }
+    const successors = wanted.wantedSuccessors(own.record, usableHosts(state, now)).flatMap(({ host }) => {
+        const session = view.hosts[host]?.created;
+        return session === undefined ? [] : [{ host, session }];
+    });
+    const differs = state.rewriteWanted || !records.sameSuccessors(own.record.successors, successors);
+    return successors.length > 0 && differs ? { ...ownRecord(settings), successors } : undefined;
 }
 
-/** Names another successor. The former one's promise counts no more from now on, whatever the answer (rule 3). */
+/** Names other successors. The former ones' promises count no more from now on, whatever the answer (rule 3). */
 function planRename(state: states.MemberState, record: records.HostRecord, now: decision.Milliseconds): Step {
     const version = state.own?.version ?? 0;
     const drops = rules.inForce(state.settings, rules.Rule.DropBeforeRename);
--- a/packages/membership/src/takeover.ts
+++ b/packages/membership/src/takeover.ts
@@ -11,18 +11,21 @@
     readonly target: string;
     readonly version: number;
     readonly comparisons: readonly states.Comparison[];
+    /** Successors of the host that have not agreed yet. */
+    readonly missing: readonly string[];
 }
 
 /** Finds a host that this one may take over now (rules 2 and 4). */
 export function findTakeover(state: states.MemberState, now: decision.Milliseconds): Takeover | undefined {
-    for (const stay of Object.keys(state.unleasedSince)) {
+    return findCandidates(state, now).find((takeover) => takeover.missing.length === 0);
+}
+
+/** The hosts that this one may take over, or could if their other successors agreed. */
+export function findCandidates(state: states.MemberState, now: decision.Milliseconds): readonly Takeover[] {
+    return Object.keys(state.unleasedSince).flatMap((stay) => {
         const seen = state.view.hosts[stay.slice(0, stay.lastIndexOf("@"))];
-        const takeover = seen && judge(state, seen, now);
-        if (takeover) {
-            return takeover;
-        }
-    }
-    return undefined;
+        return (seen && judge(state, seen, now)) ?? [];
+    });
 }
 
 function judge(
@@ -31,22 +34,25 @@
     now: decision.Milliseconds,
 ): Takeover | undefined {
     const { settings, own } = state;
-    const { host } = seen.record;
+    const { host, successors } = seen.record;
     const since = state.unleasedSince[roster.stayOf(host, seen.created)] ?? now;
-    if (!own || host === settings.host || now - since < settings.timing.graceMs) {
+    if (!own || host === settings.host || now - since < settings.timing.graceMs || !isNextInLine(state, seen)) {
         return undefined;
     }
-    const { successor } = seen.record;
-    if (successor?.host === settings.host && successor.session === own.created) {
-        return promiseLapsed(state, host, now) ? makeTakeover(state, seen, []) : undefined;
+    if (now - since > longestCarried(settings.timing)) {
+        return makeTakeover(state, seen, [], []);
     }
-    if (!isNextInLine(state, host)) {
+    const isSelf = (one: records.Successor) => one.host === settings.host && one.session === own.created;
+    if (successors.some(isSelf) && !promiseLapsed(state, host, now)) {
         return undefined;
     }
-    if (!successor || now - since > longestCarried(settings.timing)) {
-        return makeTakeover(state, seen, []);
+    const others = successors.filter((one) => !isSelf(one));
+    const gone = others.filter((one) => !records.isThere(state.view, one));
+    if (!gone.every((one) => hasWaited(state, one, now))) {
+        return undefined;
     }
-    return standInFor(state, seen, successor, now);
+    const missing = others.filter((one) => !gone.includes(one) && !hasAgreed(state, seen, one));
+    return makeTakeover(state, seen, gone, missing);
 }
 
 /** The longest that a host can act after its lease was last renewed, in milliseconds. */
@@ -54,37 +60,45 @@
     return durations.certainTime(durations.LONGEST_OUTAGE_MS + timing.leaseMs + timing.promiseMs);
 }
 
-function promiseLapsed(state: states.MemberState, host: string, now: decision.Milliseconds): boolean {
+/** Whether this host's own promise to another one has lapsed. */
+export function promiseLapsed(state: states.MemberState, host: string, now: decision.Milliseconds): boolean {
     return now >= (state.given[host] ?? -Infinity)
         || !rules.inForce(state.settings, rules.Rule.TakeOverAfterPromise);
 }
 
-/** One host acts in place of a successor that is gone, so that the whole fleet doesn't write at once. */
-function isNextInLine(state: states.MemberState, host: string): boolean {
-    return wanted.clockwise(host, records.liveHosts(state.view))[0]?.host === state.settings.host;
+/** One host asks for a takeover at a time: the first successor that lives, or else the next on the ring. */
+function isNextInLine(state: states.MemberState, seen: records.SeenHost): boolean {
+    const { view, settings } = state;
+    const lives = (one: records.Successor) => records.isThere(view, one) && view.hosts[one.host]?.leaseId !== undefined;
+    const first = seen.record.successors.find(lives)?.host
+        ?? wanted.clockwise(seen.record.host, records.liveHosts(view))[0]?.host;
+    return first === settings.host;
 }
 
-/** Takes over for a successor that is gone, once all its promises have lapsed with certainty. */
-function standInFor(
+/** Whether a successor has been gone for so long that all its promises have lapsed with certainty. */
+function hasWaited(
     state: states.MemberState,
-    seen: records.SeenHost,
     successor: records.Successor,
     now: decision.Milliseconds,
-): Takeover | undefined {
+): boolean {
+    const { settings } = state;
     const goneSince = state.goneSince[roster.stayOf(successor.host, successor.session)];
-    const waits = rules.inForce(state.settings, rules.Rule.StandInWaits);
-    const wait = waits ? durations.certainTime(state.settings.timing.promiseMs) : 0;
-    if (goneSince === undefined || now - goneSince < wait) {
-        return undefined;
-    }
-    const modRevision = records.versionOf(state.view, successor.host);
-    return makeTakeover(state, seen, [{ key: records.recordKey(successor.host), modRevision }]);
+    const waits = rules.inForce(settings, rules.Rule.StandInWaits);
+    const wait = waits ? durations.certainTime(settings.timing.promiseMs) : 0;
+    return goneSince !== undefined && now - goneSince >= wait;
+}
+
+function hasAgreed(state: states.MemberState, seen: records.SeenHost, successor: records.Successor): boolean {
+    const consents = state.consents[seen.record.host];
+    return (consents?.version === seen.version && consents.from.includes(successor.host))
+        || !rules.inForce(state.settings, rules.Rule.TakeOverAfterConsent);
 }
 
 function makeTakeover(
     state: states.MemberState,
     seen: records.SeenHost,
-    further: readonly states.Comparison[],
+    gone: readonly records.Successor[],
+    missing: readonly records.Successor[],
 ): Takeover {
     const { host } = seen.record;
     const lease = { key: records.leaseKey(host), modRevision: 0 };
@@ -92,11 +106,15 @@
     return {
         target: host,
         version: seen.version,
+        missing: missing.map((one) => one.host),
         comparisons: [
             { key: records.recordKey(host), modRevision: seen.version },
             { key: records.recordKey(state.settings.host), modRevision: state.own?.version ?? 0 },
             ...(checksLease ? [lease] : []),
-            ...further,
+            ...gone.map((one) => ({
+                key: records.recordKey(one.host),
+                modRevision: records.versionOf(state.view, one.host),
+            })),
         ],
     };
 }
--- a/packages/membership/src/wanted.ts
+++ b/packages/membership/src/wanted.ts
@@ -73,11 +73,35 @@
         .sort((left, right) => distance(left.host) - distance(right.host) || (left.host < right.host ? -1 : 1));
 }
 
-/** The successor that a host should name: the next on the ring, in another availability zone if there is one. */
-export function wantedSuccessor(
+/** From this size on a fleet's hosts name two successors: the death of one then stops nobody in an outage. */
+const TWO_SUCCESSORS_HOSTS = 6;
+
+/**
+ * The successors that a host should name: the next on the ring, in other availability zones than its own and each
+ * other's where there are any.
+ */
+export function wantedSuccessors(
     own: records.HostRecord,
     hosts: readonly records.HostRecord[],
-): records.HostRecord | undefined {
+): readonly records.HostRecord[] {
     const ring = clockwise(own.host, hosts);
-    return ring.find((host) => host.availabilityZone !== own.availabilityZone) ?? ring[0];
+    const first = nextInZone(ring, [own]);
+    if (!first || ring.length + 1 < TWO_SUCCESSORS_HOSTS) {
+        return first ? [first] : [];
+    }
+    const others = ring.filter((host) => host !== first);
+    const second = nextInZone(others, [own, first]);
+    return second ? [first, second] : [first];
+}
+
+/** The first of the ring that shares no zone with the hosts to avoid, or else not with the first of them. */
+function nextInZone(
+    ring: readonly records.HostRecord[],
+    avoid: readonly records.HostRecord[],
+): records.HostRecord | undefined {
+    const apart = (host: records.HostRecord, other: records.HostRecord | undefined) =>
+        host.availabilityZone !== other?.availabilityZone;
+    return ring.find((host) => avoid.every((other) => apart(host, other)))
+        ?? ring.find((host) => apart(host, avoid[0]))
+        ?? ring[0];
 }
--- a/packages/membership/test/availability.ts
+++ b/packages/membership/test/availability.ts
@@ -1,5 +1,4 @@
 import * as decision from "@citronlead/decision";
-import * as faults from "./faults.js";
 import * as fleets from "./fleet.js";
 
 /** What goes wrong in a run. */
@@ -19,6 +18,10 @@
     readonly incompleteMs: number;
 }
 
+const PARTITIONS = Array.from(
+    { length: 9 },
+    (_, bucket) => [`slice-0-${bucket}`, `slice-1-${bucket}`, `slice-2-${bucket}`, `pool-${bucket}`],
+).flat();
 const HOSTS = 9;
 const ZONES = 3;
 const SETTLE_MS = 60_000;
@@ -61,7 +64,7 @@
     const fleet = new fleets.SimulatedFleet(decision.seeded(seed), {
         hosts: HOSTS,
         zones: ZONES,
-        partitions: faults.PARTITIONS,
+        partitions: PARTITIONS,
         slowShare: 0.01,
         lossShare: 0.001,
         silent,
--- a/packages/membership/test/faults.ts
+++ b/packages/membership/test/faults.ts
@@ -3,7 +3,7 @@
 import * as fleets from "./fleet.js";
 
 /** The partitions of the runs: all kinds, few of each. */
-export const PARTITIONS = [
+export const PARTITIONS: readonly string[] = [
     "slice-0-1",
     "slice-0-2",
     "slice-1-1",
--- a/packages/membership/test/session.test.ts
+++ b/packages/membership/test/session.test.ts
@@ -109,11 +109,11 @@
     host: string,
     now: number,
     timeToLiveMs: number,
-    successor?: membership.Successor,
+    successors: readonly membership.Successor[],
 ): void {
     const lease = service.grant(timeToLiveMs, now).id;
     const { incarnation, availabilityZone, peerAddress } = settingsOf(host);
-    const record: membership.HostRecord = { host, incarnation, availabilityZone, peerAddress, successor };
+    const record: membership.HostRecord = { host, incarnation, availabilityZone, peerAddress, successors };
     service.swap([], [
         { key: membership.recordKey(host), value: JSON.stringify(record) },
         { key: membership.leaseKey(host), value: lease, lease },
@@ -132,9 +132,9 @@
         session.pass(0);
         session.read();
         chai.expect(session.rights(), "alone").to.deep.equal(PARTITIONS);
-        join(service, "a", session.now, 3_600_000);
+        join(service, "a", session.now, 3_600_000, []);
         const ownStay = session.state.own?.created ?? 0;
-        join(service, "c", session.now, 20_000, { host: "b", session: ownStay });
+        join(service, "c", session.now, 20_000, [{ host: "b", session: ownStay }]);
         session.read();
         session.pass(STEP_MS);
         chai.expect(session.rights().length, "after both joined").to.be.below(PARTITIONS.length);
--- a/packages/router/src/membershipmessages.ts
+++ b/packages/router/src/membershipmessages.ts
@@ -10,23 +10,28 @@
 }
 
 function toWire(message: membership.MemberMessage): MembershipBody {
-    const { number: requestNumber, incarnation } = message;
-    switch (message.kind) {
-        case membership.MessageKind.Request:
-            return {
-                case: "successorLeaseRequest",
-                value: { requestNumber, incarnation, recordVersion: message.version },
-            };
-        case membership.MessageKind.Grant:
-            return {
-                case: "successorLeaseGrant",
-                value: { requestNumber, incarnation, durationMs: message.durationMs },
-            };
-        case membership.MessageKind.Refusal:
-            return {
-                case: "successorLeaseRefusal",
-                value: { requestNumber, incarnation, reason: message.reason },
-            };
+    const { kind, incarnation } = message;
+    switch (kind) {
+        case membership.MessageKind.Request: {
+            const { number: requestNumber, version: recordVersion } = message;
+            return { case: "successorLeaseRequest", value: { requestNumber, incarnation, recordVersion } };
+        }
+        case membership.MessageKind.Grant: {
+            const { number: requestNumber, durationMs } = message;
+            return { case: "successorLeaseGrant", value: { requestNumber, incarnation, durationMs } };
+        }
+        case membership.MessageKind.Refusal: {
+            const { number: requestNumber, reason } = message;
+            return { case: "successorLeaseRefusal", value: { requestNumber, incarnation, reason } };
+        }
+        case membership.MessageKind.ConsentRequest: {
+            const { target, version: recordVersion } = message;
+            return { case: "takeoverConsentRequest", value: { incarnation, target, recordVersion } };
+        }
+        case membership.MessageKind.Consent: {
+            const { target, version: recordVersion } = message;
+            return { case: "takeoverConsent", value: { incarnation, target, recordVersion } };
+        }
     }
 }
 
@@ -51,6 +56,14 @@
                 : membership.Refusal.NoRight;
             return { kind: membership.MessageKind.Refusal, number, incarnation, reason };
         }
+        case "takeoverConsentRequest": {
+            const { incarnation, target, recordVersion: version } = body.value;
+            return { kind: membership.MessageKind.ConsentRequest, incarnation, target, version };
+        }
+        case "takeoverConsent": {
+            const { incarnation, target, recordVersion: version } = body.value;
+            return { kind: membership.MessageKind.Consent, incarnation, target, version };
+        }
         default:
             return undefined;
     }
