Name a successor by the session of its record

Cause: a successor was named by the create revision of its record, which stays when a restarted process takes the place of its former self's record. Each join now writes a session of its own, and a table counts only from the revision at which the own record was first seen. The number of successors can be limited, for measuring what they are worth. Ruled out: the promise of the former self outliving a wait, since the run shows that no wait was made at all.

--- a/packages/membership/src/consent.ts
+++ b/packages/membership/src/consent.ts
@@ -34,7 +34,7 @@
     now: decision.Milliseconds,
 ): Step {
     const seen = state.view.hosts[target];
-    const self = { host: state.settings.host, session: state.own?.created ?? 0 };
+    const self = records.ownStay(state.settings, state.own);
     if (!seen || !records.namesAt(seen, version, self) || !takeovers.promiseLapsed(state, target, now)) {
         return decision.unchanged(state);
     }
--- a/packages/membership/src/ownership.ts
+++ b/packages/membership/src/ownership.ts
@@ -32,7 +32,7 @@
 export function findAssignment(state: states.MemberState): TableWrite | undefined {
     const { view, settings } = state;
     const assigner = wanted.clockwise("", records.liveHosts(view))[0];
-    if (assigner?.host !== settings.host || view.tableRevision < (state.own?.created ?? Infinity)) {
+    if (assigner?.host !== settings.host || view.tableRevision < state.joinedAt) {
         return undefined;
     }
     const gone = settings.partitions.filter((partition) => {
--- a/packages/membership/src/promise.ts
+++ b/packages/membership/src/promise.ts
@@ -100,7 +100,7 @@
         return states.Refusal.NoRight;
     }
     const named = asker?.record.incarnation === request.incarnation
-        && records.namesAt(asker, request.version, { host: settings.host, session: own?.created ?? 0 });
+        && records.namesAt(asker, request.version, records.ownStay(settings, own));
     if (!named && rules.inForce(settings, rules.Rule.NamedInRecord)) {
         return states.Refusal.NotNamed;
     }
--- a/packages/membership/src/records.ts
+++ b/packages/membership/src/records.ts
@@ -9,12 +9,14 @@
 /** The host that may promise another one not to take it over. */
 export interface Successor {
     readonly host: string;
-    /** The revision at which the successor's record was made: a host that joins again is another successor. */
-    readonly session: number;
+    /** The session of the successor's record: a host that joins again is another successor. */
+    readonly session: string;
 }
 
 /** What a host's record in the key-value service says. */
 export interface HostRecord extends HostId {
+    /** New each time the host joins, even in the place of its own former record. */
+    readonly session: string;
     readonly availabilityZone: string;
     readonly peerAddress: string;
     /** The only hosts whose promises count for this one; none while it is alone. */
@@ -26,8 +28,6 @@
     readonly record: HostRecord;
     /** The service's revision at which the record was last written. */
     readonly version: number;
-    /** The service's revision at which the record was made. */
-    readonly created: number;
     /** The lease that the host holds at the service, or undefined if it has lapsed. */
     readonly leaseId?: string;
 }
@@ -68,7 +68,6 @@
     readonly key: string;
     readonly value: string;
     readonly modRevision: number;
-    readonly createRevision: number;
 }
 
 /** The view of a service that nothing was read from. */
@@ -83,8 +82,7 @@
     const hosts: Record<string, SeenHost> = {};
     for (const entry of entries.filter((candidate) => candidate.key.startsWith(RECORD_PREFIX))) {
         const record = JSON.parse(entry.value) as HostRecord;
-        const { modRevision: version, createRevision: created } = entry;
-        hosts[record.host] = { record, version, created, leaseId: leases.get(record.host) };
+        hosts[record.host] = { record, version: entry.modRevision, leaseId: leases.get(record.host) };
     }
     return hosts;
 }
@@ -97,7 +95,7 @@
 
 /** Whether the record that a successor was named by is still there. */
 export function isThere(view: View, successor: Successor): boolean {
-    return view.hosts[successor.host]?.created === successor.session;
+    return view.hosts[successor.host]?.record.session === successor.session;
 }
 
 /** The version to compare a host's record with: that of its record, or 0 if it has none. */
@@ -125,3 +123,8 @@
     return seen.version === version
         && seen.record.successors.some((one) => one.host === successor.host && one.session === successor.session);
 }
+
+/** This host as its own record lets others name it; the session is empty while it has none. */
+export function ownStay({ host }: HostId, own: SeenHost | undefined): Successor {
+    return { host, session: own?.record.session ?? "" };
+}
--- a/packages/membership/src/rights.ts
+++ b/packages/membership/src/rights.ts
@@ -27,7 +27,7 @@
 export function owns(state: states.MemberState, owner: tables.Owner | undefined): boolean {
     const { settings, own, view } = state;
     return own !== undefined
-        && view.tableRevision >= own.created
+        && view.tableRevision >= state.joinedAt
         && owner?.host === settings.host
         && owner.incarnation === settings.incarnation;
 }
--- a/packages/membership/src/roster.ts
+++ b/packages/membership/src/roster.ts
@@ -7,7 +7,7 @@
 type Times = Readonly<Record<string, decision.Milliseconds>>;
 
 /** Names one stay of a host in the roster. */
-export function stayOf(host: string, session: number): string {
+export function stayOf({ host, session }: records.Successor): string {
     return `${host}@${session}`;
 }
 
@@ -46,8 +46,7 @@
     state: states.MemberState,
     view: records.View,
 ): Readonly<Record<string, records.HostRecord>> {
-    const stays = (hosts: records.View["hosts"]) =>
-        Object.values(hosts).map((seen) => stayOf(seen.record.host, seen.created)).join();
+    const stays = (hosts: records.View["hosts"]) => Object.values(hosts).map((seen) => stayOf(seen.record)).join();
     return stays(view.hosts) === stays(state.view.hosts)
         ? state.wanted
         : wanted.wantedOwners(state.settings.partitions, records.presentHosts(view));
@@ -58,10 +57,11 @@
     const { settings, view, lease: held } = state;
     const seen = view.hosts[settings.host];
     const own = seen?.record.incarnation === settings.incarnation ? seen : undefined;
-    if (own?.created !== state.own?.created) {
+    if (own?.record.session !== state.own?.record.session) {
         const fresh: states.MemberState = {
             ...state,
             own,
+            joinedAt: own?.version ?? Infinity,
             lease: held && { ...held, attached: false },
             leaseUntil: -Infinity,
             promised: undefined,
@@ -95,13 +95,13 @@
 
 function unleasedSince(former: Times, view: records.View, now: decision.Milliseconds): Times {
     const unleased = Object.values(view.hosts).filter((seen) => seen.leaseId === undefined);
-    return keepFirst(former, unleased.map((seen) => stayOf(seen.record.host, seen.created)), now);
+    return keepFirst(former, unleased.map((seen) => stayOf(seen.record)), now);
 }
 
 function goneSince(former: Times, view: records.View, now: decision.Milliseconds): Times {
     const named = Object.values(view.hosts).flatMap((seen) => seen.record.successors);
     const gone = named.filter((successor) => !records.isThere(view, successor));
-    return keepFirst(former, gone.map((successor) => stayOf(successor.host, successor.session)), now);
+    return keepFirst(former, gone.map(stayOf), now);
 }
 
 /**
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -10,6 +10,8 @@
     /** All partitions, in the order in which the table holds them. */
     readonly partitions: readonly string[];
     readonly timing: durations.Timing;
+    /** The most successors that a record names; by the size of the fleet if undefined. */
+    readonly successorLimit?: number;
     /** Rules that are left out. Only runs that show what a rule is needed for name any. */
     readonly omit?: readonly rules.Rule[];
 }
@@ -228,6 +230,8 @@
     readonly view: records.View;
     /** Own record as last seen; undefined while this host is no member. */
     readonly own?: records.SeenHost;
+    /** The service's revision at which own record was first seen; an older table says nothing about this stay. */
+    readonly joinedAt: number;
     readonly lease?: OwnLease;
     /** When the right from the service's lease ends. */
     readonly leaseUntil: decision.Milliseconds;
@@ -249,7 +253,7 @@
     readonly refusing: Readonly<Record<string, Refusing>>;
     readonly consents: Readonly<Record<string, Consents>>;
     readonly nextConsentAt: decision.Milliseconds;
-    /** Since when hosts have been seen without their lease, by host and the revision that made their record. */
+    /** Since when hosts have been seen without their lease, by host and session. */
     readonly unleasedSince: Readonly<Record<string, decision.Milliseconds>>;
     /** Since when named successors have been seen to be gone. */
     readonly goneSince: Readonly<Record<string, decision.Milliseconds>>;
@@ -267,6 +271,7 @@
     return {
         settings,
         view: records.EMPTY_VIEW,
+        joinedAt: Infinity,
         leaseUntil: -Infinity,
         nextLeaseCallAt: now,
         nextSwapAt: now,
--- a/packages/membership/src/swaps.ts
+++ b/packages/membership/src/swaps.ts
@@ -69,9 +69,9 @@
     };
 }
 
-function ownRecord(settings: states.MemberSettings): records.HostRecord {
+function ownRecord(settings: states.MemberSettings, session: string): records.HostRecord {
     const { host, incarnation, availabilityZone, peerAddress } = settings;
-    return { host, incarnation, availabilityZone, peerAddress, successors: [] };
+    return { host, incarnation, session, availabilityZone, peerAddress, successors: [] };
 }
 
 /**
@@ -86,12 +86,13 @@
     if (!lease || !replaceable) {
         return decision.unchanged(state);
     }
+    const session = `${settings.incarnation}.${state.count + 1}`;
     const key = records.recordKey(settings.host);
     const leaseKey = records.leaseKey(settings.host);
     return swap(state, now, states.Purpose.Join, {
         comparisons: [{ key, modRevision: former?.version ?? 0 }, { key: leaseKey, modRevision: 0 }],
         writes: [
-            { key, value: JSON.stringify(ownRecord(settings)), lease: undefined },
+            { key, value: JSON.stringify(ownRecord(settings, session)) },
             { key: leaseKey, value: lease.id, lease: lease.id },
         ],
     });
@@ -115,7 +116,7 @@
 function usableHosts(state: states.MemberState, now: decision.Milliseconds): readonly records.HostRecord[] {
     return Object.values(state.view.hosts)
         .filter((seen) => {
-            const since = state.unleasedSince[rosters.stayOf(seen.record.host, seen.created)];
+            const since = state.unleasedSince[rosters.stayOf(seen.record)];
             return since === undefined || now - since < SUCCESSOR_GRACES * state.settings.timing.graceMs;
         })
         .map((seen) => seen.record);
@@ -130,12 +131,15 @@
     if (!own) {
         return undefined;
     }
-    const successors = wanted.wantedSuccessors(own.record, usableHosts(state, now)).flatMap(({ host }) => {
-        const session = view.hosts[host]?.created;
+    const wish = wanted.wantedSuccessors(own.record, usableHosts(state, now), settings.successorLimit);
+    const successors = wish.flatMap(({ host }) => {
+        const session = view.hosts[host]?.record.session;
         return session === undefined ? [] : [{ host, session }];
     });
     const differs = state.rewriteWanted || !records.sameSuccessors(own.record.successors, successors);
-    return successors.length > 0 && differs ? { ...ownRecord(settings), successors } : undefined;
+    return differs && (successors.length > 0 || settings.successorLimit === 0)
+        ? { ...ownRecord(settings, own.record.session), successors }
+        : undefined;
 }
 
 /** Names other successors. The former ones' promises count no more from now on, whatever the answer (rule 3). */
--- a/packages/membership/src/takeover.ts
+++ b/packages/membership/src/takeover.ts
@@ -35,14 +35,14 @@
 ): Takeover | undefined {
     const { settings, own } = state;
     const { host, successors } = seen.record;
-    const since = state.unleasedSince[roster.stayOf(host, seen.created)] ?? now;
+    const since = state.unleasedSince[roster.stayOf(seen.record)] ?? now;
     if (!own || host === settings.host || now - since < settings.timing.graceMs || !isNextInLine(state, seen)) {
         return undefined;
     }
     if (now - since > longestCarried(settings.timing)) {
         return makeTakeover(state, seen, [], []);
     }
-    const isSelf = (one: records.Successor) => one.host === settings.host && one.session === own.created;
+    const isSelf = (one: records.Successor) => one.host === settings.host && one.session === own.record.session;
     if (successors.some(isSelf) && !promiseLapsed(state, host, now)) {
         return undefined;
     }
@@ -82,7 +82,7 @@
     now: decision.Milliseconds,
 ): boolean {
     const { settings } = state;
-    const goneSince = state.goneSince[roster.stayOf(successor.host, successor.session)];
+    const goneSince = state.goneSince[roster.stayOf(successor)];
     const waits = rules.inForce(settings, rules.Rule.StandInWaits);
     const wait = waits ? durations.certainTime(settings.timing.promiseMs) : 0;
     return goneSince !== undefined && now - goneSince >= wait;
--- a/packages/membership/src/wanted.ts
+++ b/packages/membership/src/wanted.ts
@@ -83,15 +83,16 @@
 export function wantedSuccessors(
     own: records.HostRecord,
     hosts: readonly records.HostRecord[],
+    limit: number = hosts.length < TWO_SUCCESSORS_HOSTS ? 1 : 2,
 ): readonly records.HostRecord[] {
     const ring = clockwise(own.host, hosts);
     const first = nextInZone(ring, [own]);
-    if (!first || ring.length + 1 < TWO_SUCCESSORS_HOSTS) {
-        return first ? [first] : [];
+    if (!first) {
+        return [];
     }
     const others = ring.filter((host) => host !== first);
     const second = nextInZone(others, [own, first]);
-    return second ? [first, second] : [first];
+    return (second ? [first, second] : [first]).slice(0, limit);
 }
 
 /** The first of the ring that shares no zone with the hosts to avoid, or else not with the first of them. */
--- a/packages/membership/test/availability.ts
+++ b/packages/membership/test/availability.ts
@@ -60,14 +60,14 @@
 ];
 
 /** Runs one scenario on nine hosts in three availability zones. */
-export function measure(seed: number, scenario: Scenario, silent: boolean): Availability {
+export function measure(seed: number, scenario: Scenario, successorLimit: number): Availability {
     const fleet = new fleets.SimulatedFleet(decision.seeded(seed), {
         hosts: HOSTS,
         zones: ZONES,
         partitions: PARTITIONS,
         slowShare: 0.01,
         lossShare: 0.001,
-        silent,
+        successorLimit,
     });
     fleet.runUntil(SETTLE_MS);
     scenario.begin(fleet);
--- a/packages/membership/test/availabilitytable.ts
+++ b/packages/membership/test/availabilitytable.ts
@@ -6,11 +6,14 @@
 const percent = (share: number) => `${(100 * share).toFixed(2)}%`;
 process.stdout.write(`seeds 1 to ${seeds}\n`);
 for (const scenario of availability.SCENARIOS) {
-    for (const silent of [false, true]) {
-        const results = Array.from({ length: seeds }, (_, index) => availability.measure(index + 1, scenario, silent));
+    for (const successors of [0, 1, 2]) {
+        const results = Array.from(
+            { length: seeds },
+            (_, index) => availability.measure(index + 1, scenario, successors),
+        );
         const cells = [
             scenario.name,
-            silent ? "own lease only" : "with the successor's promise",
+            String(successors),
             percent(mean(results.map((result) => result.share))),
             percent(Math.min(...results.map((result) => result.lowest))),
             `${(mean(results.map((result) => result.incompleteMs)) / 1_000).toFixed(1)} s`,
--- a/packages/membership/test/fleet.ts
+++ b/packages/membership/test/fleet.ts
@@ -11,8 +11,7 @@
     /** How often a message or call takes long, from 0 to 1. */
     readonly slowShare: number;
     readonly lossShare: number;
-    /** Whether hosts hear each other at all; without, a host's own lease is its only right. */
-    readonly silent?: boolean;
+    readonly successorLimit?: number;
 }
 
 /** A process of a host. */
@@ -60,7 +59,7 @@
 
     /** Starts a process; a host of the same name must be dead or at another address. */
     start(host: string, availabilityZone: string, peerAddress: string): void {
-        const { partitions, omit } = this.options;
+        const { partitions, omit, successorLimit } = this.options;
         const incarnation = `i${++this.starts}`;
         const settings = {
             host,
@@ -69,6 +68,7 @@
             peerAddress,
             partitions,
             omit,
+            successorLimit,
             timing: membership.DEFAULT_TIMING,
         };
         const rate = 1 + (this.random.fraction() * 2 - 1) * CLOCK_RATE_SPREAD;
@@ -284,7 +284,7 @@
 
     private send(from: SimulatedHost, name: string, message: membership.MemberMessage): void {
         const isCut = () => this.now < (this.cuts.get(pairOf(from.settings.host, name)) ?? 0);
-        if (this.options.silent || isCut() || this.random.chance(this.options.lossShare)) {
+        if (isCut() || this.random.chance(this.options.lossShare)) {
             return;
         }
         const event = { kind: membership.EventKind.Message as const, host: from.settings.host, message };
--- a/packages/membership/test/service.ts
+++ b/packages/membership/test/service.ts
@@ -71,8 +71,7 @@
             this.entries.delete(key);
             return;
         }
-        const createRevision = this.entries.get(key)?.createRevision ?? this.revision;
-        this.entries.set(key, { key, value, lease, modRevision: this.revision, createRevision });
+        this.entries.set(key, { key, value, lease, modRevision: this.revision });
     }
 
     private expire(now: number): void {
--- a/packages/membership/test/session.test.ts
+++ b/packages/membership/test/session.test.ts
@@ -25,7 +25,7 @@
         session.read();
         chai.expect(session.rights(), "alone").to.deep.equal(PARTITIONS);
         sessions.join(service, "a", session.now, 3_600_000, []);
-        const ownStay = session.state.own?.created ?? 0;
+        const ownStay = session.state.own?.record.session ?? "";
         sessions.join(service, "c", session.now, 20_000, [{ host: "b", session: ownStay }]);
         session.read();
         session.pass(STEP_MS);
@@ -63,7 +63,7 @@
         const former = new sessions.Session(sessions.settingsOf("b"), service);
         former.pass(0);
         former.read();
-        const ownStay = former.state.own?.created ?? 0;
+        const ownStay = former.state.own?.record.session ?? "";
         sessions.join(service, "a", 0, 20_000, [{ host: "b", session: ownStay }]);
         const later = new sessions.Session(sessions.settingsOf("b", 2), service);
         later.now = 2 * membership.DEFAULT_TIMING.leaseMs;
--- a/packages/membership/test/session.ts
+++ b/packages/membership/test/session.ts
@@ -109,7 +109,8 @@
 ): void {
     const lease = service.grant(timeToLiveMs, now).id;
     const { incarnation, availabilityZone, peerAddress } = settingsOf(host);
-    const record: membership.HostRecord = { host, incarnation, availabilityZone, peerAddress, successors };
+    const session = `${incarnation}.1`;
+    const record: membership.HostRecord = { host, incarnation, session, availabilityZone, peerAddress, successors };
     service.swap([], [
         { key: membership.recordKey(host), value: JSON.stringify(record) },
         { key: membership.leaseKey(host), value: lease, lease },
--- a/packages/router/src/membershipshell.ts
+++ b/packages/router/src/membershipshell.ts
@@ -144,7 +144,7 @@
     private logTransitions(former: membership.MemberState): void {
         const { log, clock } = this.context;
         const { own } = this.state;
-        if (former.own?.created !== own?.created) {
+        if (former.own?.record.session !== own?.record.session) {
             log.info({ member: own !== undefined }, own ? "joined the roster" : "not in the roster any more");
         }
         const holds = membership.rightUntil(this.state) > clock();
