--- a/packages/membership/src/ownership.ts
+++ b/packages/membership/src/ownership.ts
@@ -1,4 +1,5 @@
 import type * as decision from "@citronlead/decision";
+import * as derived from "./derived.js";
 import * as durations from "./durations.js";
 import * as records from "./records.js";
 import * as rights from "./rights.js";
@@ -28,6 +29,22 @@
     return { key: records.TABLE_KEY, value: tables.writeTable(state.settings.partitions, table) };
 }
 
+const absentOwners = derived.derived((view) => {
+    const owned = Object.entries(view.table);
+    const absent = owned.filter(([, owner]) => !records.isPresent(view, owner)).map(([partition]) => partition);
+    return { owned: owned.length, absent };
+});
+
+function hasUnowned(view: records.View, partitions: readonly string[]): boolean {
+    const { owned, absent } = absentOwners(view);
+    return absent.length > 0 || owned < partitions.length;
+}
+
+function unowned(view: records.View, partitions: readonly string[]): readonly string[] {
+    const absent = new Set(absentOwners(view).absent);
+    return partitions.filter((partition) => absent.has(partition) || view.table[partition] === undefined);
+}
+
 /** Partitions without an owner in the roster, with their wanted owners. One host of the fleet assigns them all. */
 export function findAssignment(state: states.MemberState): TableWrite | undefined {
     const { view, settings } = state;
@@ -35,10 +52,7 @@
     if (assigner?.host !== settings.host || view.tableRevision < state.joinedAt) {
         return undefined;
     }
-    const gone = settings.partitions.filter((partition) => {
-        const owner = view.table[partition];
-        return !owner || !records.isPresent(view, owner);
-    });
+    const gone = hasUnowned(view, settings.partitions) ? unowned(view, settings.partitions) : [];
     const owners = wanted.wantedOwners(gone, records.liveHosts(view));
     if (Object.keys(owners).length === 0) {
         return undefined;
--- a/packages/membership/src/rights.ts
+++ b/packages/membership/src/rights.ts
@@ -1,4 +1,5 @@
 import type * as decision from "@citronlead/decision";
+import * as derived from "./derived.js";
 import * as durations from "./durations.js";
 import type * as records from "./records.js";
 import type * as states from "./state.js";
@@ -32,9 +33,22 @@
         && owner.incarnation === settings.incarnation;
 }
 
+const partitionsByOwner = derived.derived((view) => {
+    const byOwner = new Map<string, string[]>();
+    for (const [partition, { host, incarnation }] of Object.entries(view.table)) {
+        const name = `${host}/${incarnation}`;
+        const owned = byOwner.get(name) ?? [];
+        owned.push(partition);
+        byOwner.set(name, owned);
+    }
+    return byOwner;
+});
+
 /** The partitions that this host owns by the table. */
 export function ownedPartitions(state: states.MemberState): readonly string[] {
-    return Object.entries(state.view.table).filter(([, owner]) => owns(state, owner)).map(([name]) => name);
+    const { host, incarnation } = state.settings;
+    const owned = partitionsByOwner(state.view).get(`${host}/${incarnation}`) ?? [];
+    return owns(state, state.view.table[owned[0] ?? ""]) ? owned : [];
 }
 
 /** The right to act for a partition. */
