--- /dev/null
+++ b/packages/router/test/admissionfakes.ts
@@ -0,0 +1,131 @@
+import * as protobuf from "@bufbuild/protobuf";
+import * as configuration from "@citronlead/configuration";
+import * as decision from "@citronlead/decision";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as membershipDecisions from "@citronlead/membership";
+import * as protocol from "@citronlead/protocol";
+import * as admissions from "../src/admissionshell.js";
+import type * as configurations from "../src/configurationshell.js";
+import type * as contexts from "../src/context.js";
+import type * as memberships from "../src/membershipshell.js";
+import * as metrics from "../src/metrics.js";
+import type * as peers from "../src/peers.js";
+
+/** Terms of the only workspace, in tokens. */
+export interface FakeTerms {
+    readonly tokensPerSecond: number;
+    readonly burstTokens: number;
+}
+
+type HandOverListener = (partition: string, next: memberships.RosterHost) => Promise<void>;
+
+/** Several admission shells in one process, with a network and a membership of the test's own. */
+export class FakeFleet {
+    readonly scope = new lifecycle.Lifecycle("fake fleet");
+    readonly hosts: readonly memberships.RosterHost[];
+    /** Hosts that take in messages but whose answers are lost. */
+    readonly mute = new Set<string>();
+    readonly sent: string[] = [];
+    readonly owners = new Map<string, { host: memberships.RosterHost; fencing: number; }>();
+    private readonly receivers = new Map<string, peers.Receiver>();
+    private readonly ownerListeners: (() => void)[] = [];
+    private readonly handOverListeners = new Map<string, HandOverListener>();
+    private readonly admissions = new Map<string, admissions.Admission>();
+
+    constructor(names: readonly string[], private readonly terms: FakeTerms, private readonly revision = 1) {
+        this.hosts = names.map((host, index) => ({
+            host,
+            incarnation: `${host}-1`,
+            availabilityZone: `zone-${index}`,
+            peerAddress: `http://${host}`,
+        }));
+        for (const partition of membershipDecisions.allPartitions()) {
+            const slice = Number(partition.split("-")[1]);
+            this.owners.set(partition, { host: this.hosts[slice % this.hosts.length]!, fencing: 1 });
+        }
+        this.hosts.forEach((host) => this.admissions.set(host.host, this.start(host)));
+    }
+
+    admission(host: string): admissions.Admission {
+        return this.admissions.get(host)!;
+    }
+
+    private start(host: memberships.RosterHost): admissions.Admission {
+        return admissions.startAdmission(
+            this.context(host),
+            this.configuration(),
+            this.membership(host),
+            this.peers(host),
+        );
+    }
+
+    private context(host: memberships.RosterHost): contexts.Context {
+        const stored = JSON.stringify({ revision: this.revision });
+        const keyValue = { read: async () => decision.known({ entries: [{ value: stored }] }) };
+        const context: Partial<contexts.Context> = {
+            incarnation: host.incarnation,
+            scope: this.scope.child(host.host),
+            clock: lifecycle.monotonicClock,
+            metrics: metrics.makeMetrics(),
+            settings: { host: host.host, availabilityZone: host.availabilityZone } as configuration.RouterSettings,
+            keyValue: keyValue as unknown as contexts.Context["keyValue"],
+        };
+        return context as contexts.Context;
+    }
+
+    private configuration(): configurations.ConfigurationInForce {
+        const fleet = { profiles: { usual: { workspaces: { atelier: { weight: 1, ...this.terms } } } } };
+        const current = { revision: this.revision, fleet } as unknown as configuration.Configuration;
+        return { current: () => current, keysUsable: () => true, onChange: () => () => undefined };
+    }
+
+    private membership(self: memberships.RosterHost): memberships.Membership {
+        return {
+            roster: () => this.hosts,
+            ownerOf: (partition) => this.owners.get(partition)?.host,
+            rightFor: (partition) => {
+                const owned = this.owners.get(partition);
+                return owned?.host === self
+                    ? { fencing: owned.fencing, until: lifecycle.monotonicClock() + 10_000 }
+                    : undefined;
+            },
+            settled: () => true,
+            onChange: (listener) => this.ownerListeners.push(listener),
+            beforeHandOver: (listener) => this.handOverListeners.set(self.host, listener),
+            handOver: async () => undefined,
+        };
+    }
+
+    private peers(self: memberships.RosterHost): peers.Peers {
+        return {
+            send: (host, _address, body) => {
+                if (this.mute.has(self.host)) {
+                    return;
+                }
+                this.sent.push(`${self.host} ${host} ${describe(body)}`);
+                // The message goes through its encoding, as it would between processes.
+                const made = protobuf.create(protocol.PeerMessageSchema, { body });
+                const bytes = protobuf.toBinary(protocol.PeerMessageSchema, made);
+                setImmediate(() => {
+                    const message = protobuf.fromBinary(protocol.PeerMessageSchema, bytes);
+                    const senderIncarnation = self.incarnation;
+                    this.receivers.get(host)?.({ sender: self.host, senderIncarnation, message });
+                });
+            },
+            receive: (_kind, receiver) => this.receivers.set(self.host, receiver),
+        };
+    }
+
+    /** Hands a partition to another host, as membership does. */
+    async handOver(partition: string, next: memberships.RosterHost): Promise<void> {
+        const owned = this.owners.get(partition)!;
+        this.owners.delete(partition);
+        await this.handOverListeners.get(owned.host.host)!(partition, next);
+        this.owners.set(partition, { host: next, fencing: owned.fencing + 1 });
+        this.ownerListeners.forEach((listener) => listener());
+    }
+}
+
+function describe(body: peers.PeerBody): string {
+    return body?.case === "admission" ? body.value.body?.case ?? "" : "";
+}
