--- a/packages/admission/src/borrowing.ts
+++ b/packages/admission/src/borrowing.ts
@@ -20,9 +20,21 @@
 /** When a charge that can wait longer than loans last asks the other slices again, in milliseconds. */
 const ASK_AGAIN_AFTER_MS = 1_000;
 
+/** When a charge may ask the same slice again, in milliseconds. */
+const SAME_SLICE_AFTER_MS = 300;
+
+/** How long before its deadline a charge that still waits asks the other slices once more, in milliseconds. */
+const LAST_ASK_MS = 350;
+
+/** What a loan outlasts the deadline that it is needed for, in milliseconds. */
+const LOAN_GRACE_MS = 150;
+
 /** How long a slice that had nothing to give is not asked again, in milliseconds. */
 const DRY_PERIOD_MS = 100;
 
+/** How long a slice whose owner did not answer is not asked again, in milliseconds. */
+const SILENT_PERIOD_MS = 1_000;
+
 /** Tokens that were lent are put into the level, as far as it has room, this long before they become void. */
 const RECLAIM_MARGIN_MS = 50;
 
@@ -63,6 +75,15 @@
     return leftMs > LOAN_LIMIT_MS && serving.retryAfter(work, entry) < leftMs;
 }
 
+/** When a charge with the given deadline asks the other slices once more; undefined if that is now or over. */
+export function lastAskAt(
+    deadline: decision.Milliseconds,
+    now: decision.Milliseconds,
+): decision.Milliseconds | undefined {
+    const at = deadline - LAST_ASK_MS;
+    return at > now ? at : undefined;
+}
+
 /** Closes what was asked so far and asks again later, when the other slices have refilled. */
 function startOver(work: works.Work, entry: slices.Waiting): void {
     works.changeWaiting(work, entry.id, { ...entry, asks: [], askAgainAt: work.now + ASK_AGAIN_AFTER_MS });
@@ -73,8 +94,13 @@
     return slice.queue.slice(0, slice.queue.findIndex((waiting) => waiting.id === entry.id));
 }
 
-function nextSlice(slice: slices.SliceState, entry: slices.Waiting, now: decision.Milliseconds): number | undefined {
-    const asked = [...entry.asks.map((known) => known.slice), ...drySlices(slice, now)];
+function nextSlice(
+    slice: slices.SliceState,
+    entry: slices.Waiting,
+    now: decision.Milliseconds,
+): number | undefined {
+    const recent = entry.asks.filter((known) => !known.answered || now < known.askedAt + SAME_SLICE_AFTER_MS);
+    const asked = [...recent.map((known) => known.slice), ...drySlices(slice, now)];
     const others = Array.from(
         { length: membership.SLICE_COUNT - 1 },
         (_, index) => (slice.index + index + 1) % membership.SLICE_COUNT,
@@ -87,13 +113,9 @@
     return slice.dry.filter((known) => now < known.until).map((known) => known.slice);
 }
 
-function noteDry(work: works.Work, transfer: messages.LevelTransfer): void {
-    if (transfer.tokens + transfer.promisedTokens >= SMALLEST_LOAN_TOKENS || transfer.part > 0) {
-        return;
-    }
-    const others = work.slice.dry.filter((known) => known.slice !== transfer.fromSlice);
-    const until = work.now + DRY_PERIOD_MS;
-    work.slice = { ...work.slice, dry: [...others, { slice: transfer.fromSlice, until }] };
+function noteDry(work: works.Work, slice: number, periodMs: decision.Milliseconds): void {
+    const others = work.slice.dry.filter((known) => known.slice !== slice);
+    work.slice = { ...work.slice, dry: [...others, { slice, until: work.now + periodMs }] };
 }
 
 function ask(work: works.Work, entry: slices.Waiting, slice: number, tokens: number, required: number): void {
@@ -122,13 +144,13 @@
         return;
     }
     const rightMs = (work.right.until - work.now) * terms.SHORTER_ON_ANY_CLOCK;
-    const validMs = Math.min(request.patienceMs, LOAN_LIMIT_MS, rightMs);
+    const validMs = Math.min(request.patienceMs + LOAN_GRACE_MS, LOAN_LIMIT_MS + LOAN_GRACE_MS, rightMs);
     const usable = request.revision === work.revision && validMs > 0;
     const spare = Math.min(work.slice.bucket.level, slices.headroom(work.slice, work.now, work.now));
     const given = usable ? worthLending(Math.min(request.tokens, spare)) : 0;
     const loan = loanEntry(work, request, validMs);
     if (given > 0) {
-        lendNow(work, loan, given);
+        lendNow(work, loan, { part: 0, tokens: given });
     }
     const promised = usable ? worthLending(promise(work, loan, request.requiredTokens - given)) : 0;
     if (promised > 0) {
@@ -142,7 +164,7 @@
         kind: slices.WaitingKind.Loan,
         id: request.transferId,
         tokens: 0,
-        deadline: work.now + validMs * terms.SHORTER_ON_ANY_CLOCK,
+        deadline: work.now + Math.min(request.patienceMs, validMs - RECLAIM_MARGIN_MS) * terms.SHORTER_ON_ANY_CLOCK,
         replyTo: { partition: names.slicePartition(request.workspace, request.toSlice) },
         asks: [],
         validMs,
@@ -161,11 +183,15 @@
     return Math.min(lacking, spare, buckets.capacity(work.slice.bucket));
 }
 
-function lendNow(work: works.Work, loan: slices.Waiting, tokens: number): void {
+function lendNow(
+    work: works.Work,
+    loan: slices.Waiting,
+    { part, tokens }: { readonly part: number; readonly tokens: number; },
+): void {
     decision.invariant(work.now < work.right.until, "tokens are lent only while the right to the slice holds");
     decision.invariant(tokens <= work.slice.bucket.level, "tokens are lent only within the level of the slice");
     const until = loan.arrivedAt + loan.validMs * terms.LONGER_ON_ANY_CLOCK;
-    works.changeBucket(work, (bucket) => buckets.lend(bucket, { transferId: loan.id, tokens, until }));
+    works.changeBucket(work, (bucket) => buckets.lend(bucket, { transferId: loan.id, part, tokens, until }));
 }
 
 function sendTransfer(
@@ -190,7 +216,7 @@
 /** Gives a promised loan. */
 export function giveLoan(work: works.Work, loan: slices.Waiting): void {
     works.changeWaiting(work, loan.id);
-    lendNow(work, loan, loan.tokens);
+    lendNow(work, loan, { part: 1, tokens: loan.tokens });
     sendTransfer(work, loan, { part: 1, tokens: loan.tokens, promised: 0 });
 }
 
@@ -199,18 +225,16 @@
     const entry = work.slice.queue.find((waiting) => waiting.asks.some((open) => isAnswer(open, transfer)));
     const open = entry?.asks.find((candidate) => isAnswer(candidate, transfer));
     if (!entry || !open) {
-        acknowledge(work, transfer.transferId, transfer.fromSlice);
+        acknowledge(work, transfer.transferId, transfer.fromSlice, { part: transfer.part, ended: true });
         return;
     }
     const counted = open.gathered.some((gathered) => gathered.part === transfer.part);
     if (counted || transfer.revision !== work.revision) {
         return;
     }
-    const gathered = {
-        part: transfer.part,
-        tokens: transfer.tokens,
-        validUntil: open.askedAt + transfer.validMs,
-    };
+    const validUntil = open.askedAt + transfer.validMs;
+    const tokens = work.now < validUntil && !creditAtOnce(work, entry, transfer) ? transfer.tokens : 0;
+    const gathered = { part: transfer.part, tokens, validUntil };
     const next: slices.OpenAsk = {
         ...open,
         answered: true,
@@ -218,7 +242,9 @@
         promised: transfer.part === 0 && open.gathered.length === 0 ? transfer.promisedTokens : 0,
         gathered: [...open.gathered, gathered],
     };
-    noteDry(work, transfer);
+    if (transfer.part === 0 && transfer.tokens + transfer.promisedTokens < SMALLEST_LOAN_TOKENS) {
+        noteDry(work, transfer.fromSlice, DRY_PERIOD_MS);
+    }
     const changed = { ...entry, asks: entry.asks.map((candidate) => candidate === open ? next : candidate) };
     works.changeWaiting(work, entry.id, changed);
     if (slices.missingNow(changed, work.now) > work.slice.bucket.level) {
@@ -226,6 +252,24 @@
     }
 }
 
+/**
+ * Credits a transfer to the level if that has room for all of it, so that the sender's slice may fill up again at once.
+ * Otherwise the tokens stay with the charge, and the sender holds their room.
+ */
+function creditAtOnce(work: works.Work, entry: slices.Waiting, transfer: messages.LevelTransfer): boolean {
+    const { transferId, fromSlice, part, tokens } = transfer;
+    const capacity = buckets.capacity(work.slice.bucket);
+    // A charge that exceeds the slice's own burst needs tokens beside the level.
+    const fits = tokens > 0
+        && slices.missingNow(entry, work.now) <= capacity
+        && work.slice.bucket.level + tokens <= capacity;
+    if (fits) {
+        works.changeBucket(work, (bucket) => buckets.credit(bucket, tokens));
+        acknowledge(work, transferId, fromSlice, { part, ended: false });
+    }
+    return fits;
+}
+
 function isAnswer(open: slices.OpenAsk, transfer: messages.LevelTransfer): boolean {
     return open.transferId === transfer.transferId && open.slice === transfer.fromSlice;
 }
@@ -235,7 +279,9 @@
     if (leftoverTokens > 0) {
         works.changeBucket(work, (bucket) => buckets.credit(bucket, leftoverTokens));
     }
-    entry.asks.filter(mayHoldRoom).forEach((open) => acknowledge(work, open.transferId, open.slice));
+    entry.asks.filter(mayHoldRoom).forEach((open) =>
+        acknowledge(work, open.transferId, open.slice, { part: 0, ended: true })
+    );
 }
 
 /** Whether the other slice may still hold room for an ask, or tokens that it promised. */
@@ -244,18 +290,28 @@
     return !open.answered || open.promised > 0 || open.gathered.length === 0 || !empty;
 }
 
-function acknowledge(work: works.Work, transferId: string, fromSlice: number): void {
+function acknowledge(
+    work: works.Work,
+    transferId: string,
+    fromSlice: number,
+    what: { readonly part: number; readonly ended: boolean; },
+): void {
     works.send(work, { partition: names.slicePartition(work.slice.workspace, fromSlice) }, {
         kind: messages.MessageKind.LevelTransferAcknowledgement,
         transferId,
         workspace: work.slice.workspace,
         fromSlice,
+        ...what,
     });
 }
 
-/** Frees the room of a transfer that has ended, and takes back what was promised for it. */
-export function endTransfer(work: works.Work, transferId: string): void {
-    works.changeBucket(work, (bucket) => buckets.release(bucket, transferId));
+/** Frees the room of a part of a transfer, or of all of it, and takes back what was promised for it. */
+export function endTransfer(work: works.Work, message: messages.LevelTransferAcknowledgement): void {
+    const { transferId, part, ended } = message;
+    works.changeBucket(work, (bucket) => buckets.release(bucket, transferId, ended ? undefined : part));
+    if (!ended) {
+        return;
+    }
     work.slice = {
         ...work.slice,
         queue: work.slice.queue.filter((waiting) =>
@@ -267,9 +323,13 @@
 /** Forgets asks whose answers are overdue or nearly void, and asks further for what is lacking then. */
 export function dropVoid(work: works.Work): void {
     for (const entry of work.slice.queue.filter((waiting) => nextTimeout(waiting) <= work.now)) {
+        entry.asks
+            .filter((open) => !open.answered && work.now >= open.askedAt + ANSWER_TIMEOUT_MS)
+            .forEach((open) => noteDry(work, open.slice, SILENT_PERIOD_MS));
         const ended = entry.asks.filter((open) => nearlyVoid(open, work.now));
         const asks = entry.asks.filter((open) => !ended.includes(open)).map((open) => withoutOverdue(open, work.now));
-        const changed = { ...entry, asks, askAgainAt: undefined };
+        const lastAskAt = entry.lastAskAt !== undefined && work.now < entry.lastAskAt ? entry.lastAskAt : undefined;
+        const changed = { ...entry, asks, askAgainAt: undefined, lastAskAt };
         works.changeWaiting(work, entry.id, changed);
         const reclaimed = slices.gatheredTokens({ ...entry, asks: ended }, work.now);
         closeAsks(work, { ...entry, asks: ended }, reclaimed);
@@ -283,7 +343,7 @@
 
 function withoutOverdue(open: slices.OpenAsk, now: decision.Milliseconds): slices.OpenAsk {
     const answered = open.answered || now >= open.askedAt + ANSWER_TIMEOUT_MS;
-    return { ...open, answered, promised: now >= open.askedAt + LOAN_LIMIT_MS ? 0 : open.promised };
+    return { ...open, answered, promised: now >= open.askedAt + LOAN_LIMIT_MS + LOAN_GRACE_MS ? 0 : open.promised };
 }
 
 /** Drops everything that was asked of or promised to other slices: it is void under other terms. */
@@ -295,7 +355,7 @@
 
 /** When something that was asked of other slices is overdue or nearly void, or may be asked again. */
 export function nextTimeout(waiting: slices.Waiting): decision.Milliseconds {
-    let earliest = waiting.askAgainAt ?? Infinity;
+    let earliest = Math.min(waiting.askAgainAt ?? Infinity, waiting.lastAskAt ?? Infinity);
     for (const open of waiting.asks) {
         earliest = Math.min(earliest, askTimeout(open));
     }
@@ -305,7 +365,7 @@
 function askTimeout(open: slices.OpenAsk): decision.Milliseconds {
     let earliest = open.answered ? Infinity : open.askedAt + ANSWER_TIMEOUT_MS;
     if (open.promised > 0) {
-        earliest = Math.min(earliest, open.askedAt + LOAN_LIMIT_MS);
+        earliest = Math.min(earliest, open.askedAt + LOAN_LIMIT_MS + LOAN_GRACE_MS);
     }
     for (const gathered of open.gathered) {
         if (gathered.tokens > 0) {
--- a/packages/admission/src/bucket.ts
+++ b/packages/admission/src/bucket.ts
@@ -5,6 +5,7 @@
 /** Room that a bucket keeps free because tokens debited from it may still be spent elsewhere. */
 export interface HeldRoom {
     readonly transferId: string;
+    readonly part: number;
     readonly tokens: number;
     /** When the tokens are surely spent, credited or void, on the holder's clock. */
     readonly until: decision.Milliseconds;
@@ -92,9 +93,12 @@
     return noted({ ...bucket, level: bucket.level - room.tokens, held: [...bucket.held, room] });
 }
 
-/** Frees the room of a transfer that has ended. The bucket must have been refilled up to now. */
-export function release(bucket: Bucket, transferId: string): Bucket {
-    return noted({ ...bucket, held: bucket.held.filter((room) => room.transferId !== transferId) });
+/** Frees the room of one part of a transfer, or of all parts. The bucket must have been refilled up to now. */
+export function release(bucket: Bucket, transferId: string, part?: number): Bucket {
+    const held = bucket.held.filter((room) =>
+        room.transferId !== transferId || (part !== undefined && room.part !== part)
+    );
+    return noted({ ...bucket, held });
 }
 
 /** Applies other terms. What exceeds a smaller burst is lost. The bucket must have been refilled up to now. */
--- a/packages/admission/src/messages.ts
+++ b/packages/admission/src/messages.ts
@@ -74,10 +74,14 @@
     readonly revision: number;
 }
 
-/** Ends a transfer: its tokens are spent, credited or dropped, so the sender's slice may fill up again. */
+/** Says that tokens of a transfer are spent, credited or dropped, so the sender's slice may fill up again. */
 export interface LevelTransferAcknowledgement {
     readonly kind: MessageKind.LevelTransferAcknowledgement;
     readonly transferId: string;
+    /** The part that this is about. */
+    readonly part: number;
+    /** Whether all parts are meant and no further one is wanted. */
+    readonly ended: boolean;
     readonly workspace: string;
     readonly fromSlice: number;
 }
--- a/packages/admission/src/owner.ts
+++ b/packages/admission/src/owner.ts
@@ -48,6 +48,9 @@
     };
 }
 
+/** How often a partition without a right looks whether the right has come back, in milliseconds. */
+const LAPSED_PERIOD_MS = 2_000;
+
 const NO_WORKSPACES: ReadonlyMap<string, terms.Terms> = new Map();
 
 function bucketOf(partition: string): string {
@@ -137,13 +140,13 @@
 }
 
 function nextWake(state: partitions.PartitionState, now: decision.Milliseconds): decision.Milliseconds | undefined {
+    if (state.leaving) {
+        return Math.max(now, leaving.heldUntil(state));
+    }
     const times = [state.askSiblingsAt ?? Infinity];
     if (state.active) {
         state.slices.forEach((slice) => times.push(slice.wakeAt ?? Infinity));
     }
-    if (state.leaving) {
-        times.push(leaving.heldUntil(state));
-    }
     const earliest = Math.min(...times);
     return earliest === Infinity ? undefined : Math.max(now, earliest);
 }
@@ -197,7 +200,9 @@
     }
     const held = holds(known, right, now) ? right : undefined;
     if (!held) {
-        return putPartition(state, leaving.surrender({ ...known, askSiblingsAt: undefined }), now);
+        // The right may come back under the same fencing number; the siblings are asked again then.
+        const askSiblingsAt = known.askSiblingsAt === undefined ? undefined : now + LAPSED_PERIOD_MS;
+        return putPartition(state, leaving.surrender({ ...known, askSiblingsAt }), now);
     }
     let step: partitions.PartitionStep = { state: known, actions: [] };
     if (known.askSiblingsAt !== undefined && known.askSiblingsAt <= now) {
@@ -319,7 +324,7 @@
     now: decision.Milliseconds,
 ): OwnerStep {
     if (known.active && holds(known, right, now)) {
-        const change = (work: works.Work) => borrowing.endTransfer(work, message.transferId);
+        const change = (work: works.Work) => borrowing.endTransfer(work, message);
         return putPartition(state, partitions.workOn(known, message.workspace, right, now, change), now);
     }
     const slice = known.slices.get(message.workspace);
@@ -327,7 +332,10 @@
         return { state, actions: [] };
     }
     const refilled = known.active ? buckets.refill(slice.bucket, now) : slice.bucket;
-    const released = { ...slice, bucket: buckets.release(refilled, message.transferId) };
+    const released = {
+        ...slice,
+        bucket: buckets.release(refilled, message.transferId, message.ended ? undefined : message.part),
+    };
     const changed = { ...known, slices: new Map(known.slices).set(message.workspace, released) };
     return known.leaving
         ? finishLeaving(state, changed, now)
--- a/packages/admission/src/serving.ts
+++ b/packages/admission/src/serving.ts
@@ -60,11 +60,13 @@
     request: messages.ChargeRequest,
     replyTo: actions.Destination,
 ): slices.Waiting {
+    const deadline = work.now + request.patienceMs - REPLY_MARGIN_MS;
     return {
         kind: slices.WaitingKind.Charge,
         id: request.chargeId,
         tokens: request.tokens,
-        deadline: work.now + request.patienceMs - REPLY_MARGIN_MS,
+        deadline,
+        lastAskAt: borrowing.lastAskAt(deadline, work.now),
         replyTo,
         asks: [],
         validMs: 0,
@@ -215,9 +217,17 @@
     if (!head) {
         return undefined;
     }
-    const perMs = buckets.refillPerMs(work.slice.bucket);
-    const missing = slices.missingNow(head, work.now) - work.slice.bucket.level;
-    const ready = perMs > 0 ? work.now + Math.max(0, missing) / perMs + READY_MARGIN_MS : Infinity;
+    const ready = readyAt(work, slices.missingNow(head, work.now));
     const timeouts = work.slice.queue.map(borrowing.nextTimeout);
     return Math.min(ready, head.deadline, ...timeouts);
 }
+
+/** When the level will reach an amount. What exceeds the capacity has to wait for room that is held. */
+function readyAt(work: works.Work, tokens: number): decision.Milliseconds {
+    const { bucket } = work.slice;
+    if (tokens > buckets.capacity(bucket)) {
+        return Math.min(Infinity, ...bucket.held.map((room) => room.until));
+    }
+    const perMs = buckets.refillPerMs(bucket);
+    return perMs > 0 ? work.now + Math.max(0, tokens - bucket.level) / perMs + READY_MARGIN_MS : Infinity;
+}
--- a/packages/admission/test/support/callers.ts
+++ b/packages/admission/test/support/callers.ts
@@ -40,9 +40,31 @@
     agenda.after(random.exponential(meanPauseMs), next);
 }
 
-/** Draws a size from a bounded Pareto distribution with about the given mean, in tokens. */
-export function drawSize(fleet: fleets.Fleet, load: Load): number {
-    const smallest = load.meanTokens * (TAIL_SHAPE - 1) / TAIL_SHAPE;
-    const size = smallest / (1 - fleet.random.fraction()) ** (1 / TAIL_SHAPE);
-    return Math.ceil(Math.min(size, load.largestTokens));
+/** Draws a size from a bounded Pareto distribution with the given mean, in tokens. */
+export function drawSize(
+    fleet: Pick<fleets.Fleet, "random">,
+    load: Pick<Load, "meanTokens" | "largestTokens">,
+): number {
+    const size = smallestSize(load.meanTokens, load.largestTokens) / (1 - fleet.random.fraction()) ** (1 / TAIL_SHAPE);
+    return Math.min(size, load.largestTokens);
+}
+
+const sizes = new Map<string, number>();
+
+/** Finds the smallest size with which the bounded distribution has the mean. */
+function smallestSize(mean: number, largest: number): number {
+    const key = `${mean}/${largest}`;
+    let low = 0;
+    let high = sizes.get(key) ?? mean;
+    if (sizes.has(key)) {
+        return high;
+    }
+    for (let step = 0; step < 60; step++) {
+        const middle = (low + high) / 2;
+        const boundedMean = (TAIL_SHAPE * middle - middle ** TAIL_SHAPE * largest ** (1 - TAIL_SHAPE))
+            / (TAIL_SHAPE - 1);
+        [low, high] = boundedMean < mean ? [middle, high] : [low, middle];
+    }
+    sizes.set(key, high);
+    return high;
 }
--- a/packages/admission/test/support/fleet.ts
+++ b/packages/admission/test/support/fleet.ts
@@ -196,6 +196,10 @@
         });
     }
 
+    firstPartition(): string {
+        return this.partitions()[0]!;
+    }
+
     randomPartition(): string {
         return this.random.pick(this.partitions());
     }
