--- a/packages/admission/src/module.ts
+++ b/packages/admission/src/module.ts
@@ -5,7 +5,6 @@
 import * as messages from "./messages.js";
 import * as owners from "./owner.js";
 import * as requesters from "./requester.js";
-import * as sharded from "./sharded.js";
 import type * as terms from "./terms.js";
 
 /** What the module is started with. */
@@ -22,7 +21,7 @@
 
 /** The state before the first event. */
 export function start(settings: Settings): State {
-    return { host: settings.host, owner: owners.startOwner(), requests: sharded.emptyMap() };
+    return { host: settings.host, owner: owners.startOwner(), requests: requesters.noRequests() };
 }
 
 /** Decides about one event. */
--- a/packages/admission/src/owner.ts
+++ b/packages/admission/src/owner.ts
@@ -155,7 +155,12 @@
 export function handOver(state: OwnerState, event: events.HandOver, now: decision.Milliseconds): OwnerStep {
     const known = state.partitions.get(event.partition);
     if (!known) {
-        return { state, actions: [{ kind: actions.ActionKind.HandedOver, partition: event.partition }] };
+        const awaited = new Map(state.awaited);
+        awaited.delete(event.partition);
+        return {
+            state: { ...state, awaited },
+            actions: [{ kind: actions.ActionKind.HandedOver, partition: event.partition }],
+        };
     }
     const left = leaving.startLeaving(known, event.nextHost);
     const step = finishLeaving(state, left.state, now);
--- a/packages/admission/src/requester.ts
+++ b/packages/admission/src/requester.ts
@@ -34,8 +34,17 @@
     readonly grantedChargeId?: string;
 }
 
-/** The requests of this host. */
-export type Requests = sharded.ShardedMap<Request>;
+/** The requests of this host, and what it knows of the owners that it asks. */
+export interface Requests {
+    readonly open: sharded.ShardedMap<Request>;
+    /** Until when partitions are asked last because their owners did not answer. */
+    readonly silentUntil: ReadonlyMap<string, decision.Milliseconds>;
+}
+
+/** The state before the first request. */
+export function noRequests(): Requests {
+    return { open: sharded.emptyMap(), silentUntil: new Map() };
+}
 
 /** What one event leads to. */
 export interface RequesterStep {
@@ -48,6 +57,7 @@
 const POLL_PERIOD_MS = 1_000;
 const PAUSE_MS = 100;
 const RETRY_AFTER_MS = 1_000;
+const SILENT_PERIOD_MS = 2_000;
 const ENDED_MEMORY_MS = 30_000;
 const ATTEMPT_SEPARATOR = "#";
 
@@ -61,12 +71,33 @@
 
 /** Starts to ask for a request. */
 export function wish(requests: Requests, event: events.Wish, now: decision.Milliseconds): RequesterStep {
-    const { requestId, workspace, tokens, deadline, order } = event;
+    const { requestId, workspace, tokens, deadline } = event;
+    const order = silentLast(requests, workspace, event.order, now);
     const state = RequestState.Asked;
     const request: Request = { requestId, workspace, tokens, deadline, order, state, attempt: 0, until: Infinity };
     return askNext(requests, request, now);
 }
 
+function silentLast(
+    requests: Requests,
+    workspace: string,
+    order: readonly number[],
+    now: decision.Milliseconds,
+): readonly number[] {
+    if (requests.silentUntil.size === 0) {
+        return order;
+    }
+    const silent = (slice: number) => (requests.silentUntil.get(names.slicePartition(workspace, slice)) ?? 0) > now;
+    return [...order.filter((slice) => !silent(slice)), ...order.filter(silent)];
+}
+
+/** Takes note that the owner of a request's slice did not answer in time. */
+function noteSilent(requests: Requests, request: Request, now: decision.Milliseconds): Requests {
+    const current = [...requests.silentUntil].filter(([, until]) => until > now);
+    const partition = names.slicePartition(request.workspace, currentSlice(request));
+    return { ...requests, silentUntil: new Map([...current, [partition, now + SILENT_PERIOD_MS]]) };
+}
+
 function askNext(requests: Requests, request: Request, now: decision.Milliseconds): RequesterStep {
     if (now >= request.deadline) {
         return end(requests, request, now, [answer(request, false, RETRY_AFTER_MS)]);
@@ -99,7 +130,7 @@
     now: decision.Milliseconds,
 ): RequesterStep {
     const requestId = reply.chargeId.slice(0, reply.chargeId.lastIndexOf(ATTEMPT_SEPARATOR));
-    const request = sharded.find(requests, requestId);
+    const request = sharded.find(requests.open, requestId);
     if (!request) {
         return { requests, actions: [] };
     }
@@ -164,12 +195,13 @@
 
 /** The time that a request asked for has come: an answer is overdue, or the deadline has passed. */
 export function wake(requests: Requests, requestId: string, now: decision.Milliseconds): RequesterStep {
-    const request = sharded.find(requests, requestId);
+    const request = sharded.find(requests.open, requestId);
     switch (request?.state) {
         case RequestState.Pausing:
             return askNext(requests, request, now);
         case RequestState.Asked: {
-            const next = now >= request.deadline ? askNext(requests, request, now) : tryNext(requests, request, now);
+            const noted = noteSilent(requests, request, now);
+            const next = now >= request.deadline ? askNext(noted, request, now) : tryNext(noted, request, now);
             return { requests: next.requests, actions: [cancelCurrent(request), ...next.actions] };
         }
         case RequestState.Waiting:
@@ -183,7 +215,7 @@
 
 /** Drops a request whose caller has left, at its owner too. */
 export function leave(requests: Requests, requestId: string, now: decision.Milliseconds): RequesterStep {
-    const request = sharded.find(requests, requestId);
+    const request = sharded.find(requests.open, requestId);
     if (!request || request.state === RequestState.Granted || request.state === RequestState.Ended) {
         return { requests, actions: [] };
     }
@@ -193,7 +225,7 @@
 
 /** Tells the owner what a granted request used in the end. Only the first call counts. */
 export function settle(requests: Requests, event: events.Settle, now: decision.Milliseconds): RequesterStep {
-    const request = sharded.find(requests, event.requestId);
+    const request = sharded.find(requests.open, event.requestId);
     if (request?.state !== RequestState.Granted || request.grantedBy === undefined) {
         return { requests, actions: [] };
     }
@@ -222,7 +254,8 @@
     now: decision.Milliseconds,
     made: readonly actions.Action[],
 ): RequesterStep {
-    return { requests: sharded.put(requests, request.requestId, request, now), actions: made };
+    const open = sharded.put(requests.open, request.requestId, request, now);
+    return { requests: { ...requests, open }, actions: made };
 }
 
 function send(to: actions.Destination, message: messages.Message): actions.Action {
