Lend for no longer than a hand-over may wait

Cause: a hand-over goes on after 2 s at the latest (membership's limit for the last words of a host's parts), but a loan could live for 2,150 ms and 3% for clocks; the next owner could have refilled beside tokens still to be spent. After: loans live for at most 1,850 ms, 1,906 ms with clocks.

--- a/packages/admission/src/borrowing.ts
+++ b/packages/admission/src/borrowing.ts
@@ -14,8 +14,8 @@
 /** How long an owner waits for another slice's first answer. */
 const ANSWER_TIMEOUT_MS = 100;
 
-/** The longest time for which tokens are lent to a waiting charge. */
-const LOAN_LIMIT_MS = 2_000;
+/** The longest time for which tokens are lent to a waiting charge; a hand-over of the partition waits for them. */
+const LOAN_LIMIT_MS = 1_750;
 
 /** When a charge that can wait longer than loans last asks the other slices again, in milliseconds. */
 const ASK_AGAIN_AFTER_MS = 1_000;
@@ -27,7 +27,7 @@
 const LAST_ASK_MS = 350;
 
 /** What a loan outlasts the deadline that it is needed for, in milliseconds. */
-const LOAN_GRACE_MS = 150;
+const LOAN_GRACE_MS = 100;
 
 /** How long a slice that had nothing to give is not asked again, in milliseconds. */
 const DRY_PERIOD_MS = 100;
