--- a/packages/router/src/configurationexchange.ts
+++ b/packages/router/src/configurationexchange.ts
@@ -114,7 +114,7 @@
         }
     }
 
-    private takeReply(sender: string, reply: protocol.RevisionReply): void {
+    private takeReply(sender: string, reply: protocol.ConfigurationRevisionReply): void {
         const names = reply.witnesses.length > 0 ? this.namesByHash() : new Map<number, string>();
         const witnesses = reply.witnesses.flatMap((hash, index) => {
             const host = names.get(hash);
--- a/packages/router/src/configurationshell.ts
+++ b/packages/router/src/configurationshell.ts
@@ -9,6 +9,8 @@
 import type * as memberships from "./membershipshell.js";
 import type * as peers from "./peers.js";
 
+export { CONFIGURATION_KEY } from "./configurationstore.js";
+
 /** The configuration that this router works by. */
 export interface ConfigurationInForce {
     /** The configuration in force, or undefined before the first was learnt. */
--- /dev/null
+++ b/packages/router/test/configurationfixture.ts
@@ -0,0 +1,165 @@
+import * as protobuf from "@bufbuild/protobuf";
+import * as configuration from "@citronlead/configuration";
+import * as decision from "@citronlead/decision";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as platform from "@citronlead/platform";
+import * as protocol from "@citronlead/protocol";
+import * as standins from "@citronlead/standins";
+import * as pino from "pino";
+import * as configurations from "../src/configurationshell.js";
+import * as store from "../src/configurationstore.js";
+import type * as contexts from "../src/context.js";
+import type * as memberships from "../src/membershipshell.js";
+import type * as peers from "../src/peers.js";
+
+const ADDRESS = "127.0.0.32";
+/** Nothing listens there. */
+const NOWHERE = "http://127.0.0.32:1";
+
+const FLEET = `
+fleet: test
+region: test
+availabilityZones: [zone-a, zone-b, zone-c]
+zoneDelay: 0.5ms
+callerDelay: 1ms
+profiles:
+  counter:
+    priority: 0
+    firstTokenTarget: 500ms
+    betweenTokensTarget: 100ms
+    deadline: 8s
+    workspaces:
+      guild: { tokensPerSecond: 100000, burstTokens: 400000 }
+pools: {}
+`;
+
+/** One host that follows the configuration. */
+export interface FollowingHost {
+    readonly name: string;
+    readonly scope: lifecycle.Lifecycle;
+    readonly configuration: configurations.ConfigurationInForce;
+    readonly receivers: Map<string, peers.Receiver[]>;
+    /** Whether the key-value service is out of the host's reach. */
+    cut: boolean;
+    /** Whether the other hosts are out of its reach. */
+    isolated: boolean;
+}
+
+/** Hosts that follow the configuration in one process, with a platform stand-in and messages passed in memory. */
+export class Followers {
+    readonly scope = new lifecycle.Lifecycle("followers");
+    readonly hosts: FollowingHost[] = [];
+    keyValue!: platform.KeyValue;
+    revision = 0;
+    /** Added to the clock of every host, in milliseconds. */
+    clockOffsetMs = 0;
+    private address = "";
+    private modRevision = 0;
+    private head: configuration.ConfigurationHead | undefined;
+
+    async start(count: number): Promise<void> {
+        const options = { address: ADDRESS, port: 0, weightRateBytesPerSecond: 1e9 };
+        this.address = (await standins.startPlatform(this.scope, options)).address;
+        this.keyValue = platform.connectKeyValue({ addresses: [this.address], timeoutMs: 1_000 });
+        await this.accept();
+        for (let index = 0; index < count; index++) {
+            this.add(`host-${index}`, false);
+        }
+    }
+
+    /** Accepts one more revision, whose number of keys says which it is. */
+    async accept(): Promise<void> {
+        const fleet = configuration.parseFleet("fleet", FLEET);
+        if (!fleet.valid) {
+            throw new Error(JSON.stringify(fleet.problems));
+        }
+        this.revision++;
+        const keys = Array.from({ length: this.revision }, (_, index) => ({
+            id: `key-${index}`,
+            workspace: "guild",
+            hash: configuration.hashKey(`key-${index}`),
+        }));
+        const next = { revision: this.revision, fleet: fleet.value, text: FLEET, keys };
+        const outcome = await store.swapConfiguration(this.keyValue, next, this.modRevision, this.head);
+        const stored = await store.readHead(this.keyValue);
+        if (outcome.effect !== decision.Effect.Known || stored.effect !== decision.Effect.Known) {
+            throw new Error(`not accepted: ${JSON.stringify(outcome)}`);
+        }
+        this.modRevision = stored.value.modRevision;
+        this.head = stored.value.head;
+    }
+
+    async faults(faults: Partial<standins.PlatformFaults>): Promise<void> {
+        await (await fetch(`${this.address}/standin/faults`, { method: "PUT", body: JSON.stringify(faults) })).text();
+    }
+
+    /** Starts a host, in place of the one with this name if there is one. A cut host never reaches the service. */
+    add(name: string, cut: boolean): FollowingHost {
+        const scope = this.scope.child(name);
+        const host = { name, scope, receivers: new Map<string, peers.Receiver[]>(), cut, isolated: false };
+        const following = host as unknown as FollowingHost;
+        const former = this.hosts.findIndex((candidate) => candidate.name === name);
+        this.hosts.splice(former < 0 ? this.hosts.length : former, former < 0 ? 0 : 1, following);
+        const made = configurations.followConfiguration(
+            this.context(following),
+            this.membership(),
+            this.links(following),
+        );
+        Object.assign(following, { configuration: made });
+        return following;
+    }
+
+    private context(host: FollowingHost): contexts.Context {
+        const address = host.cut ? NOWHERE : this.address;
+        const settings = {
+            host: host.name,
+            availabilityZone: zoneOf(host.name),
+            platform: { keyValue: [address] },
+        } as unknown as configuration.RouterSettings;
+        const direct = platform.connectKeyValue({ addresses: [this.address], timeoutMs: 1_000 });
+        return {
+            settings,
+            scope: host.scope,
+            clock: () => lifecycle.monotonicClock() + this.clockOffsetMs,
+            log: pino.pino({ level: "silent" }),
+            keyValue: {
+                ...direct,
+                read: async (key: string) => host.cut ? decision.noEffect("cut off") : direct.read(key),
+                readPrefix: async (prefix: string) =>
+                    host.cut ? decision.noEffect("cut off") : direct.readPrefix(prefix),
+            },
+        } as unknown as contexts.Context;
+    }
+
+    private membership(): memberships.Membership {
+        const roster = () =>
+            ["host-0", "host-1", "host-2"].map((host) => ({
+                host,
+                incarnation: "",
+                availabilityZone: zoneOf(host),
+                peerAddress: "",
+            }));
+        return { roster, onChange: () => undefined } as unknown as memberships.Membership;
+    }
+
+    private links(host: FollowingHost): peers.Peers {
+        return {
+            send: (name, _address, body) => {
+                const peer = this.hosts.find((candidate) => candidate.name === name);
+                const message = protobuf.create(protocol.PeerMessageSchema, { body });
+                if (peer && !peer.isolated && !host.isolated && !peer.scope.closed) {
+                    setImmediate(() =>
+                        peer.receivers.get(message.body.case ?? "")?.forEach((receiver) =>
+                            receiver({ sender: host.name, senderIncarnation: "", message })
+                        )
+                    );
+                }
+            },
+            receive: (kind, receiver) => host.receivers.set(kind, [...host.receivers.get(kind) ?? [], receiver]),
+        };
+    }
+}
+
+function zoneOf(host: string): string {
+    return `zone-${host.at(-1)}`;
+}
