--- a/packages/command/src/keys.ts
+++ b/packages/command/src/keys.ts
@@ -1,6 +1,7 @@
 import * as configuration from "@citronlead/configuration";
 import type * as commander from "commander";
 import * as exit from "./exit.js";
+import * as inForce from "./inforce.js";
 import * as store from "./store.js";
 import * as terminals from "./terminal.js";
 
@@ -9,6 +10,10 @@
     readonly json?: true;
 }
 
+interface WithdrawOptions extends KeysOptions {
+    readonly wait?: readonly string[];
+}
+
 const KEY_VALUE_OPTION = ["--key-value <address>", "base address of the key-value service"] as const;
 
 /** Adds `citronlead keys grant|withdraw|list`. */
@@ -22,11 +27,12 @@
         .option("--json", "print JSON")
         .action((workspace: string, id: string, options: KeysOptions) => grant(terminal, workspace, id, options));
     keys.command("withdraw")
-        .description("Withdraw a key. It stops working on every host within seconds.")
+        .description("Withdraw a key. It stops working within 7 s on every host that can hear of it, or of others.")
         .argument("<id>", "name of the key")
         .requiredOption(...KEY_VALUE_OPTION)
+        .addOption(inForce.waitOption())
         .option("--json", "print JSON")
-        .action((id: string, options: KeysOptions) => withdraw(terminal, id, options));
+        .action((id: string, options: WithdrawOptions) => withdraw(terminal, id, options));
     keys.command("list")
         .description("List the keys by name and workspace.")
         .requiredOption(...KEY_VALUE_OPTION)
@@ -87,7 +93,7 @@
     }
 }
 
-async function withdraw(terminal: terminals.Terminal, id: string, options: KeysOptions): Promise<void> {
+async function withdraw(terminal: terminals.Terminal, id: string, options: WithdrawOptions): Promise<void> {
     const read = await readApplied(terminal, options);
     if (!read) {
         return;
@@ -102,6 +108,7 @@
     const revision = await change(terminal, options, stored, current, left);
     if (revision !== undefined) {
         terminals.printData(terminal, options.json === true, { id, revision }, () => [`key ${id} is withdrawn`]);
+        await inForce.waitInForce(terminal, options.wait ?? [], revision);
     }
 }
 
