--- a/packages/configuration/src/document.ts
+++ b/packages/configuration/src/document.ts
@@ -1,4 +1,5 @@
 import * as crypto from "node:crypto";
+import * as yaml from "yaml";
 import * as zod from "zod";
 import * as fleets from "./fleet.js";
 import * as keys from "./keys.js";
@@ -17,8 +18,10 @@
 
 const headSchema = zod.strictObject({
     revision: zod.int().positive(),
-    /** Hashes of the pieces of the text, in order. */
+    /** Hashes of the pieces of the operator's text, in order. */
     text: zod.array(hash),
+    /** Hashes of the pieces of the same in JSON, in order: YAML takes hosts too long to read at the size to design for. */
+    fleet: zod.array(hash),
     /** Hashes of the groups of keys. */
     keys: zod.array(hash),
     /** Parts of the revision before that this one no longer has; the next write deletes them. */
@@ -38,7 +41,7 @@
 
 /** Pieces of the text end after a line whose hash says so, so that an edit changes only the pieces around it. */
 const LINES_PER_PIECE = 64;
-const SHORTEST_PIECE_CHARACTERS = 8 * 1024;
+const SHORTEST_PIECE_CHARACTERS = 16 * 1024;
 const LONGEST_PIECE_CHARACTERS = 128 * 1024;
 /** Keys fall into groups by their hash, so that a grant or withdrawal changes one group. */
 const KEY_GROUPS = 64;
@@ -51,11 +54,13 @@
     former?: ConfigurationHead,
 ): StoredConfiguration {
     const text = splitText(configuration.text);
+    const fleet = splitText(JSON.stringify(yaml.parse(configuration.text), undefined, 1));
     const groups = groupKeys(configuration.keys);
-    const parts = new Map([...text, ...groups].map((part) => [hashPart(part), part]));
+    const parts = new Map([...text, ...fleet, ...groups].map((part) => [hashPart(part), part]));
     const head: ConfigurationHead = {
         revision: configuration.revision,
         text: text.map(hashPart),
+        fleet: fleet.map(hashPart),
         keys: groups.map(hashPart),
         obsolete: former ? partHashes(former).filter((candidate) => !parts.has(candidate)) : [],
         writes: [{ revision: configuration.revision, writeId }, ...former?.writes ?? []].slice(0, WRITES_KEPT),
@@ -65,7 +70,7 @@
 
 /** The hashes of all parts of a configuration. */
 export function partHashes(head: ConfigurationHead): string[] {
-    return [...new Set([...head.text, ...head.keys])];
+    return [...new Set([...head.text, ...head.fleet, ...head.keys])];
 }
 
 /** Names a part by its text. */
@@ -84,31 +89,61 @@
     return parsed.success ? parsed.data : undefined;
 }
 
-/**
- * Joins a configuration from its parts. Returns undefined if a part is missing or cannot be used. Takes the fleet over
- * from the former configuration if the text is the same, since checking a long text takes time.
- */
-export function joinConfiguration(
-    { head, parts }: StoredConfiguration,
-    former?: Configuration,
-): Configuration | undefined {
-    if (partHashes(head).some((candidate) => !parts.has(candidate))) {
-        return undefined;
+/** Joins configurations from their parts, and does not check again what did not change since the one before. */
+export class ConfigurationJoiner {
+    private fleetJson = "";
+    private fleet: fleets.Fleet | undefined;
+    private groups: ReadonlyMap<string, readonly keys.KeyRecord[]> = new Map();
+
+    /** Returns undefined if a part is missing or cannot be used. */
+    join({ head, parts }: StoredConfiguration): Configuration | undefined {
+        if (partHashes(head).some((candidate) => !parts.has(candidate))) {
+            return undefined;
+        }
+        const fleet = this.readFleet(joinPieces(head.fleet, parts));
+        const groups = this.readGroups(head, parts);
+        if (!fleet || !groups) {
+            return undefined;
+        }
+        const records = [...groups.values()].flat().sort((left, right) => left.id < right.id ? -1 : 1);
+        return { revision: head.revision, fleet, text: joinPieces(head.text, parts), keys: records };
+    }
+
+    private readFleet(json: string): fleets.Fleet | undefined {
+        if (json !== this.fleetJson) {
+            const checked = fleets.fleetSchema.safeParse(parseJson(json));
+            this.fleet = checked.success ? checked.data : undefined;
+            this.fleetJson = json;
+        }
+        return this.fleet;
+    }
+
+    private readGroups(
+        head: ConfigurationHead,
+        parts: ReadonlyMap<string, string>,
+    ): ReadonlyMap<string, readonly keys.KeyRecord[]> | undefined {
+        const groups = new Map<string, readonly keys.KeyRecord[]>();
+        for (const name of head.keys) {
+            const group = this.groups.get(name) ?? groupSchema.safeParse(parseJson(parts.get(name) ?? "")).data;
+            if (!group) {
+                return undefined;
+            }
+            groups.set(name, group);
+        }
+        this.groups = groups;
+        return groups;
     }
-    const text = head.text.map((candidate) => parts.get(candidate)).join("");
-    const records = head.keys.map((candidate) => groupSchema.safeParse(parseJson(parts.get(candidate) ?? "")));
-    const known = records.flatMap((parsed) => parsed.data ?? []).sort((left, right) => left.id < right.id ? -1 : 1);
-    const fleet = text === former?.text ? former.fleet : readFleet(text);
-    return fleet && records.every((parsed) => parsed.success)
-        ? { revision: head.revision, fleet, text, keys: known }
-        : undefined;
+}
+
+/** Joins one configuration. Returns undefined if a part is missing or cannot be used. */
+export function joinConfiguration(stored: StoredConfiguration): Configuration | undefined {
+    return new ConfigurationJoiner().join(stored);
 }
 
 const groupSchema = zod.array(keys.keyRecordSchema);
 
-function readFleet(text: string): fleets.Fleet | undefined {
-    const checked = fleets.parseFleet("stored", text);
-    return checked.valid ? checked.value : undefined;
+function joinPieces(hashes: readonly string[], parts: ReadonlyMap<string, string>): string {
+    return hashes.map((candidate) => parts.get(candidate)).join("");
 }
 
 function splitText(text: string): string[] {
--- a/packages/router/src/configurationshell.ts
+++ b/packages/router/src/configurationshell.ts
@@ -42,6 +42,7 @@
 class Follower {
     private state: propagation.PropagationState;
     private inForce: configuration.Configuration | undefined;
+    private readonly joiner = new configuration.ConfigurationJoiner();
     private readonly held = new Map<string, string>();
     private readonly listeners = new Set<(current: configuration.Configuration) => void>();
     private readonly exchange: exchanges.ConfigurationExchange;
@@ -151,7 +152,7 @@
         const head = action.from === undefined
             ? await this.fetchFromService(held, action.revision)
             : await this.exchange.fetch(action.from, held);
-        const joined = head && configuration.joinConfiguration({ head, parts: held }, this.inForce);
+        const joined = head && this.joiner.join({ head, parts: held });
         if (!head || !joined) {
             this.context.log.warn({ revision: action.revision, from: action.from }, "configuration not fetched");
             this.tell({ kind: propagation.PropagationEventKind.FetchLost, revision: action.revision });
