--- a/packages/router/test/operationsfixture.ts
+++ b/packages/router/test/operationsfixture.ts
@@ -24,8 +24,25 @@
     workspaces:
       guild: { tokensPerSecond: 100000, burstTokens: 400000 }
       workshop: { tokensPerSecond: 100000, burstTokens: 400000 }
+  reading:
+    priority: 2
+    firstTokenTarget: 2s
+    betweenTokensTarget: 100ms
+    deadline: 60s
+    modelVersions: { reader: "1" }
 pools:
   counter: { kind: service, concurrentCalls: 100 }
+  reader:
+    kind: model
+    decodeSlots: 20
+    prefillSurvival: 800ms
+    memoryPieces: 1000
+    pieceTokens: 64
+    cacheBytesPerToken: 160KB
+    linkBytesPerSecond: 12GB
+    fencing: checked
+models:
+  reader: { pool: reader, profile: reading, longestPromptTokens: 20000, longestOutputTokens: 20000 }
 services:
   - { name: orders, pool: counter, profile: counter, pathPrefix: /orders, methods: [POST], idempotent: false }
   - { name: stock, pool: counter, profile: counter, pathPrefix: /stock, methods: [GET, POST], idempotent: true }
@@ -115,8 +132,8 @@
         return this.apply({ ...this.current, revision: this.current.revision + 1, keys: [] });
     }
 
-    async list(name: string, address: string): Promise<void> {
-        const row = { name, pool: "counter", address, availabilityZone: "zone-a", state: "live" };
+    async list(name: string, address: string, pool: string = "counter"): Promise<void> {
+        const row = { name, pool, address, availabilityZone: "zone-a", state: "live" };
         await order(`${this.platformAddress}/hosts`, row);
     }
 
@@ -146,8 +163,8 @@
         return await answer.json() as Awaited<ReturnType<Fixture["status"]>>;
     }
 
-    /** Sends a call with the key to a host. */
-    send(host: number, sent: Sent): Promise<Received> {
+    /** Sends a call with the key to a host, unless other headers are named. Tells of each piece of the answer. */
+    send(host: number, sent: Sent, onPiece: () => void = () => undefined): Promise<Received> {
         const { callers } = this.settings(host);
         const body = Buffer.from(sent.body ?? "");
         return new Promise((resolve, reject) => {
@@ -156,12 +173,15 @@
                 port: callers.port,
                 path: sent.path,
                 method: sent.method ?? "POST",
-                headers: { "authorization": `Bearer ${this.key}`, ...sent.headers, "content-length": body.length },
+                headers: headersOf({ authorization: `Bearer ${this.key}`, ...sent.headers }, body.length),
                 signal: sent.signal,
                 agent: false,
             }, (response) => {
                 const pieces: Buffer[] = [];
-                response.on("data", (piece: Buffer) => pieces.push(piece));
+                response.on("data", (piece: Buffer) => {
+                    pieces.push(piece);
+                    onPiece();
+                });
                 response.on("error", reject);
                 response.on("end", () =>
                     resolve({
@@ -200,6 +220,12 @@
     }
 }
 
+/** Leaves out headers without a value. */
+function headersOf(headers: http.OutgoingHttpHeaders, length: number): http.OutgoingHttpHeaders {
+    const kept = Object.entries(headers).filter(([, value]) => value !== undefined);
+    return { ...Object.fromEntries(kept), "content-length": length };
+}
+
 async function order(url: string, body: object): Promise<void> {
     await (await fetch(url, { method: "PUT", body: JSON.stringify(body) })).text();
 }
