Refuse calls whose path holds the key

Cause: only query, headers and body were looked at. Ruled out: taking the key out of the path (the path would name something else). Conclusion: refused as key-misplaced; nothing is sent.

--- a/packages/router/src/servicepath.ts
+++ b/packages/router/src/servicepath.ts
@@ -28,6 +28,10 @@
     request: callerRequests.CallerRequest,
     service: configuration.Service,
 ): Promise<operations.OperationOutcome> {
+    if (upstream.mentions(pathOf(request), request.credential?.key)) {
+        const refusal = refusals.notRun(refusals.Reason.KeyMisplaced, "the key stands in the path");
+        return Promise.resolve({ answered: false, refusal });
+    }
     const idempotencyKey = request.headers["idempotency-key"];
     if (service.idempotent || typeof idempotencyKey !== "string" || idempotencyKey === "") {
         return toOutcome(runOnUpstreams(served, request, service));
@@ -43,6 +47,10 @@
     return served.operations.runOnce(wish, () => runOnUpstreams(served, running, service));
 }
 
+function pathOf(request: callerRequests.CallerRequest): string {
+    return request.pathAndQuery.split("?")[0] ?? "";
+}
+
 /** Tries upstreams until one has or may have run the call; an idempotent call goes on after that. */
 async function runOnUpstreams(
     served: parts.Parts,
