Let workspaces catch up, and average demand over a minute

Cause: a workspace that was idle for a moment lost that share for good, so one that sent five times its rate crowded the others; demand averaged over 10 s reached 1 by chance at load 0.9 and late requests were refused; late requests took prefill engines while others waited.

--- a/packages/model/src/bound.ts
+++ b/packages/model/src/bound.ts
@@ -50,7 +50,8 @@
         const work = workloads.leastWork(request, speeds);
         const shortest = work.prefillMs + work.transferMs + speeds.stepMs + speeds.stepMsPerStream;
         const waits = Math.max(prefill.level, decode.level, link.level);
-        if (request.cancelsAt === Infinity && waits + shortest <= firstTokenTargetMs) {
+        const wholeMs = shortest + work.decodeSlotMs;
+        if (request.cancelsAt >= request.arrivesAt + wholeMs && waits + shortest <= firstTokenTargetMs) {
             served.add(request.id);
             prefill.level += work.prefillMs / size.prefillEngines;
             decode.level += work.decodeSlotMs / (size.decodeEngines * speeds.slots);
--- a/packages/model/src/run.ts
+++ b/packages/model/src/run.ts
@@ -195,7 +195,8 @@
     const target = profile.firstTokenTarget - deployment.networkMs;
     const feasible = (request: workloads.ModelRequest) => {
         const work = workloads.leastWork(request, speeds);
-        return request.cancelsAt === Infinity && work.prefillMs + work.transferMs + speeds.stepMs <= target;
+        const stays = request.cancelsAt >= request.arrivesAt + work.prefillMs + work.transferMs + work.decodeSlotMs;
+        return stays && work.prefillMs + work.transferMs + speeds.stepMs <= target;
     };
     const count = (list: readonly journeys.JourneyResult[], workspace: string) =>
         list.filter((result) => result.request.workspace === workspace).length;
--- a/packages/scheduling/src/fairorder.ts
+++ b/packages/scheduling/src/fairorder.ts
@@ -70,12 +70,20 @@
     };
 }
 
+/** How far a workspace that got less than its share may lag behind the virtual time and still catch up, in milliseconds. */
+const CREDIT_MS = 2_000;
+
+/** The virtual time at which a workspace is due its next turn. */
+function dueTag(order: FairOrder, workspace: string): number {
+    return Math.max(order.virtualTime - CREDIT_MS, order.finish.get(workspace) ?? 0);
+}
+
 /** Adds an entry. Its name must be new. */
 export function enqueue(order: FairOrder, entry: Entry): FairOrder {
     decision.invariant(!order.entries.has(entry.id), () => `entry ${entry.id} waits already`);
     const name = flowName(entry.rank, entry.workspace);
     const former = order.flows.get(name);
-    const tag = Math.max(order.virtualTime, order.finish.get(entry.workspace) ?? 0);
+    const tag = dueTag(order, entry.workspace);
     const flow: Flow = {
         key: former?.key ?? { rank: entry.rank, tag, workspace: entry.workspace },
         waiting: (former?.waiting ?? orderedMap.OrderedMap.empty<DueKey, Entry>(compareDue)).set(entry, entry),
@@ -108,7 +116,7 @@
 export function serve(order: FairOrder, id: string, weight: number): FairOrder {
     const entry = order.entries.get(id);
     decision.invariant(entry !== undefined, () => `entry ${id} does not wait`);
-    const tag = Math.max(order.virtualTime, order.finish.get(entry.workspace) ?? 0);
+    const tag = dueTag(order, entry.workspace);
     const taken = remove(order, id);
     const virtualTime = Math.max(taken.virtualTime, Math.min(tag, taken.turns.first()?.[0].tag ?? tag));
     return charge({ ...taken, virtualTime }, entry.workspace, entry.cost, weight, tag);
@@ -121,10 +129,10 @@
 
 function charge(order: FairOrder, workspace: string, cost: number, weight: number, from: number): FairOrder {
     const tag = from + cost / weight;
-    const next = tag > order.virtualTime || order.flows.size > 0
+    const next = tag > order.virtualTime - CREDIT_MS || order.flows.size > 0
         ? order.finish.set(workspace, tag)
         : order.finish.delete(workspace);
-    return retag({ ...order, finish: next }, workspace, Math.max(tag, order.virtualTime));
+    return retag({ ...order, finish: next }, workspace, Math.max(tag, order.virtualTime - CREDIT_MS));
 }
 
 /** The ranks that a workspace may wait in: priorities and, behind them, those that are late. */
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -177,7 +177,7 @@
     for (let place = 0; place < HEAD_COUNT;) {
         const entry = fairOrder.peek(next.order, place);
         const waiting = entry && next.waiting.get(entry.id);
-        if (!waiting || waiting.late && next.freeSlots <= lateHeadroom(next)) {
+        if (!waiting || waiting.late && (place > 0 || next.freeSlots <= lateHeadroom(next))) {
             break;
         }
         const chosen = placement.choose(next, waiting.ask, now);
--- a/packages/scheduling/src/state.ts
+++ b/packages/scheduling/src/state.ts
@@ -186,7 +186,7 @@
 }
 
 /** The time over which demand is averaged. */
-const DEMAND_MS = 10_000;
+const DEMAND_MS = 60_000;
 
 /** Adds arriving work to the demand. */
 export function addDemand(demand: Demand, prefillMs: number, decodeMs: number, now: decision.Milliseconds): Demand {
