Keep a workspace's ranks together, and skip passes that can't place anything

Cause: each charge looked up twenty ranks by name, and every arrival tried to place a blocked queue again.

--- a/packages/scheduling/src/fairorder.ts
+++ b/packages/scheduling/src/fairorder.ts
@@ -39,7 +39,8 @@
 export interface FairOrder {
     /** Workspaces that have entries waiting, by the turn that they are due. */
     readonly turns: orderedMap.OrderedMap<FlowKey, Flow>;
-    readonly flows: orderedMap.OrderedMap<string, Flow>;
+    /** For each workspace what waits in each rank. */
+    readonly flows: orderedMap.OrderedMap<string, readonly Flow[]>;
     readonly entries: orderedMap.OrderedMap<string, Entry>;
     /** The virtual time up to which each workspace has been served. */
     readonly finish: orderedMap.OrderedMap<string, number>;
@@ -55,8 +56,8 @@
     return left.due - right.due || orderedMap.compareText(left.id, right.id);
 }
 
-function flowName(rank: number, workspace: string): string {
-    return `${rank}/${workspace}`;
+function findFlow(order: FairOrder, rank: number, workspace: string): Flow | undefined {
+    return order.flows.get(workspace)?.find((flow) => flow.key.rank === rank);
 }
 
 /** The order without entries. */
@@ -81,14 +82,13 @@
 /** Adds an entry. Its name must be new. */
 export function enqueue(order: FairOrder, entry: Entry): FairOrder {
     decision.invariant(!order.entries.has(entry.id), () => `entry ${entry.id} waits already`);
-    const name = flowName(entry.rank, entry.workspace);
-    const former = order.flows.get(name);
+    const former = findFlow(order, entry.rank, entry.workspace);
     const tag = dueTag(order, entry.workspace);
     const flow: Flow = {
         key: former?.key ?? { rank: entry.rank, tag, workspace: entry.workspace },
         waiting: (former?.waiting ?? orderedMap.OrderedMap.empty<DueKey, Entry>(compareDue)).set(entry, entry),
     };
-    return checked({ ...putFlow(order, name, flow), entries: order.entries.set(entry.id, entry) }, order, 1);
+    return checked({ ...putFlow(order, flow), entries: order.entries.set(entry.id, entry) }, order, 1);
 }
 
 /** The entry whose turn is at a place, counted from 0: the first of the workspace at that place. */
@@ -102,13 +102,12 @@
     if (!entry) {
         return order;
     }
-    const name = flowName(entry.rank, entry.workspace);
-    const flow = order.flows.get(name);
+    const flow = findFlow(order, entry.rank, entry.workspace);
     decision.invariant(flow !== undefined && flow.waiting.has(entry), () => `the queue lost ${id}`);
     const waiting = flow.waiting.delete(entry);
     const next = waiting.size === 0
-        ? { ...order, flows: order.flows.delete(name), turns: order.turns.delete(flow.key) }
-        : putFlow(order, name, { ...flow, waiting });
+        ? dropFlow(order, flow)
+        : putFlow(order, { ...flow, waiting });
     return checked({ ...next, entries: order.entries.delete(id) }, order, -1);
 }
 
@@ -135,28 +134,40 @@
     return retag({ ...order, finish: next }, workspace, Math.max(tag, order.virtualTime - CREDIT_MS));
 }
 
-/** The ranks that a workspace may wait in: priorities and, behind them, those that are late. */
-export const RANK_COUNT = 20;
-
 function retag(order: FairOrder, workspace: string, tag: number): FairOrder {
-    let next = order;
-    for (let rank = 0; rank < RANK_COUNT; rank++) {
-        const name = flowName(rank, workspace);
-        const flow = next.flows.get(name);
-        if (flow) {
-            next = { ...next, turns: next.turns.delete(flow.key) };
-            next = putFlow(next, name, { ...flow, key: { ...flow.key, tag } });
-        }
+    const flows = order.flows.get(workspace);
+    if (!flows) {
+        return order;
     }
-    return next;
+    const moved = flows.map((flow) => ({ ...flow, key: { ...flow.key, tag } }));
+    const without = flows.reduce((turns, flow) => turns.delete(flow.key), order.turns);
+    const turns = moved.reduce((next, flow) => next.set(flow.key, flow), without);
+    return { ...order, turns, flows: order.flows.set(workspace, moved) };
 }
 
-function putFlow(order: FairOrder, name: string, flow: Flow): FairOrder {
-    return { ...order, flows: order.flows.set(name, flow), turns: order.turns.set(flow.key, flow) };
+function putFlow(order: FairOrder, flow: Flow): FairOrder {
+    const { rank, workspace } = flow.key;
+    const others = (order.flows.get(workspace) ?? []).filter((other) => other.key.rank !== rank);
+    return {
+        ...order,
+        flows: order.flows.set(workspace, [...others, flow]),
+        turns: order.turns.set(flow.key, flow),
+    };
+}
+
+function dropFlow(order: FairOrder, flow: Flow): FairOrder {
+    const { rank, workspace } = flow.key;
+    const others = (order.flows.get(workspace) ?? []).filter((other) => other.key.rank !== rank);
+    return {
+        ...order,
+        flows: others.length === 0 ? order.flows.delete(workspace) : order.flows.set(workspace, others),
+        turns: order.turns.delete(flow.key),
+    };
 }
 
 function checked(next: FairOrder, former: FairOrder, change: number): FairOrder {
     decision.invariant(next.entries.size === former.entries.size + change, "the queue lost or doubled an entry");
-    decision.invariant(next.flows.size === next.turns.size, "a workspace waits without a turn");
+    decision.invariant(next.flows.size <= next.turns.size, "a workspace waits without a turn");
+    decision.invariant(next.turns.size <= next.entries.size, "a turn is due to nobody");
     return next;
 }
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -17,13 +17,33 @@
     decide,
 };
 
+/** How many workspaces are looked at when the first of them can't be placed yet. */
+const HEAD_COUNT = 4;
+
 /** Takes in an event, then places what can be placed and gives up on what can't be served in time any more. */
 export function decide(state: states.State, event: messages.Event, now: decision.Milliseconds): Step {
     const taken = takeEvent(state, event, now);
     const shed = shedWaiting(taken.state, now);
-    const placed = placeWaiting(shed.state, now);
+    const placed = stillBlocked(shed.state, event)
+        ? { state: shed.state, actions: [], retryAt: shed.state.blockedUntil ?? Infinity }
+        : placeWaiting(shed.state, now);
     const actions = [...taken.actions, ...shed.actions, ...placed.actions];
-    return wake(placed.state, actions, now, placed.retryAt);
+    return wake({ ...placed.state, blockedUntil: placed.retryAt }, actions, now, placed.retryAt);
+}
+
+/** Whether an event can't have made room for the first in the queue, nor is about one of them. */
+function stillBlocked(state: states.State, event: messages.Event): boolean {
+    if (state.blockedUntil === undefined || state.order.turns.size === 0) {
+        return false;
+    }
+    if (event.kind === messages.EventKind.Ask) {
+        return !heads(state).includes(event.ask.id);
+    }
+    return event.kind === messages.EventKind.CacheChange;
+}
+
+function heads(state: states.State): readonly (string | undefined)[] {
+    return Array.from({ length: HEAD_COUNT }, (_, place) => fairOrder.peek(state.order, place)?.id);
 }
 
 function takeEvent(state: states.State, event: messages.Event, now: decision.Milliseconds): Step {
@@ -164,9 +184,6 @@
         : delay(without, waiting.ask, waiting.cost, now);
 }
 
-/** How many workspaces are looked at when the first of them can't be placed yet. */
-const HEAD_COUNT = 4;
-
 function placeWaiting(
     state: states.State,
     now: decision.Milliseconds,
--- a/packages/scheduling/src/state.ts
+++ b/packages/scheduling/src/state.ts
@@ -67,6 +67,8 @@
     /** Tokens of answers over their upper bounds. */
     readonly outputShare: number;
     readonly wakeAt: decision.Milliseconds;
+    /** When the first in the queue may be placed if nothing else happens; undefined before it was looked at. */
+    readonly blockedUntil: decision.Milliseconds | undefined;
 }
 
 const FIRST_OUTPUT_SHARE = 0.6;
@@ -94,6 +96,7 @@
         prefillTokensPerSecond: settings.prefillTokensPerSecond,
         outputShare: FIRST_OUTPUT_SHARE,
         wakeAt: Infinity,
+        blockedUntil: undefined,
     };
 }
 
