Test the scheduler: a golden session, rules one by one, random traffic

Found on the way: with few slots, requests that were late already never started although slots were free; the headroom kept for others is now a tenth of the slots at most.

--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -212,9 +212,12 @@
     return { state: next, actions, retryAt };
 }
 
+/** The largest share of the slots that is left free. */
+const LARGEST_HEADROOM = 0.1;
+
 /** Slots that requests which are late already leave free for those that are not. */
 function lateHeadroom(state: states.State): number {
-    return Math.sqrt(state.decodeSlots);
+    return Math.min(Math.sqrt(state.decodeSlots), state.decodeSlots * LARGEST_HEADROOM);
 }
 
 function meetsTarget(state: states.State, waiting: states.Waiting, choice: placement.Choice): boolean {
--- /dev/null
+++ b/packages/scheduling/test/scheduler.test.ts
@@ -0,0 +1,214 @@
+import * as decision from "@citronlead/decision";
+import * as testing from "@citronlead/testing";
+import * as chai from "chai";
+import * as scheduling from "../src/index.js";
+import * as support from "./support.js";
+
+const { ask, end, report } = support;
+const { Prefill, Decode } = scheduling.Role;
+
+function pool(slots: number, decodeEngines = 2, prefillEngines = 2): support.Driver {
+    const driver = new support.Driver();
+    for (let index = 1; index <= prefillEngines; index++) {
+        driver.happen(report(`p${index}`, Prefill, 0), 0);
+    }
+    for (let index = 1; index <= decodeEngines; index++) {
+        driver.happen(report(`d${index}`, Decode, slots), 0);
+    }
+    return driver;
+}
+
+describe("scheduler", () => {
+    it("writes a whole session down", () => {
+        const inputs: decision.SessionInput<scheduling.Settings, scheduling.Event>[] = [
+            { now: 0, settings: support.settings },
+            { now: 0, event: report("p1", Prefill, 0) },
+            { now: 0, event: report("d1", Decode, 1) },
+            { now: 0, event: report("d2", Decode, 1) },
+            { now: 10, event: ask("first", 10, { prefixHashes: ["a", "b"] }) },
+            { now: 20, event: ask("second", 20, { prefixHashes: ["a", "c"] }) },
+            { now: 60, event: { kind: scheduling.EventKind.Wake } },
+            { now: 70, event: { kind: scheduling.EventKind.Progress, id: "first", prefillMs: 50, prefillDone: true } },
+            { now: 80, event: ask("third", 80, { workspace: "school" }) },
+            { now: 90, event: ask("fourth", 90, { deadline: 200, firstTokenDeadline: 150 }) },
+            { now: 100, event: { kind: scheduling.EventKind.Progress, id: "first", transferMs: 14, tokenMs: 28 } },
+            { now: 2_500, event: { kind: scheduling.EventKind.Wake } },
+            { now: 3_000, event: end("first") },
+            { now: 3_100, event: ask("third", 3_100, { workspace: "school" }) },
+            { now: 3_200, event: end("second", ["d2"]) },
+            { now: 3_210, event: ask("second#1", 20, { avoid: ["d2"], retry: true, promptTokens: 1_050 }) },
+            { now: 4_000, event: end("third") },
+            { now: 4_100, event: { kind: scheduling.EventKind.HoldersGone, holders: ["host/incarnation"] } },
+        ];
+        testing.expectGolden(
+            new URL("../../test/golden/session.jsonl", import.meta.url).pathname,
+            decision.runSession(scheduling.scheduler, inputs),
+        );
+    });
+
+    it("answers a repeated wish as before and places it once", () => {
+        const driver = pool(1);
+        const [first] = driver.happen(ask("one", 0), 0);
+        chai.expect(driver.happen(ask("one", 0), 5)).to.deep.equal([first]);
+        chai.expect(driver.state.stays.size).to.equal(1);
+    });
+
+    it("takes turns by weight between workspaces", () => {
+        const driver = pool(1, 1, 1);
+        driver.happen(ask("holds", 0), 0);
+        const waiting = { firstTokenDeadline: 1e6, deadline: 1e6 };
+        for (let index = 0; index < 40; index++) {
+            driver.happen(ask(`guild-${index}`, 0, { ...waiting, workspace: "guild" }), 1);
+            driver.happen(ask(`school-${index}`, 0, { ...waiting, workspace: "school" }), 1);
+        }
+        const order: string[] = [];
+        let placed = "holds";
+        for (let now = 1_000; order.length < 25; now += 1_000) {
+            const [grant] = driver.grants(end(placed), now);
+            placed = grant?.split(":")[0] ?? "";
+            order.push(placed.split("-")[0] ?? "");
+        }
+        const ofGuild = order.filter((workspace) => workspace === "guild").length;
+        chai.expect(ofGuild).to.be.within(18, 22);
+    });
+
+    it("serves the lower priority number first and the earliest deadline first within a workspace", () => {
+        const driver = pool(1, 1, 1);
+        driver.happen(ask("holds", 0), 0);
+        driver.happen(ask("patient", 1, { firstTokenDeadline: 90_000, deadline: 99_000 }), 1);
+        driver.happen(ask("pressed", 1, { firstTokenDeadline: 50_000, deadline: 99_000 }), 1);
+        driver.happen(ask("urgent", 1, { priority: 0, firstTokenDeadline: 95_000, deadline: 99_000 }), 1);
+        chai.expect(driver.grants(end("holds"), 1_000)).to.deep.equal(["urgent: p1, d1"]);
+        chai.expect(driver.grants(end("urgent"), 2_000)).to.deep.equal(["pressed: p1, d1"]);
+        chai.expect(driver.grants(end("pressed"), 3_000)).to.deep.equal(["patient: p1, d1"]);
+    });
+
+    it("gives a request up at the moment at which it can't be served in time any more", () => {
+        const driver = pool(1, 1, 1);
+        driver.happen(ask("holds", 0, { outputTokens: 4_000, deadline: 1e6 }), 0);
+        chai.expect(driver.happen(ask("waits", 10, { firstTokenDeadline: 500, deadline: 6_000 }), 10)).to.be.empty;
+        const wakeAt = driver.state.wakeAt;
+        chai.expect(wakeAt).to.be.below(500);
+        const [action] = driver.happen({ kind: scheduling.EventKind.Wake }, wakeAt);
+        chai.expect(action).to.include({ kind: scheduling.ActionKind.Refuse, id: "waits" });
+        chai.expect(driver.state.waiting.size).to.equal(0);
+    });
+
+    it("keeps a request that missed its target while there is capacity left, until its deadline", () => {
+        const driver = pool(1, 1, 1);
+        driver.happen(ask("holds", 0, { outputTokens: 1, deadline: 1e6 }), 0);
+        driver.happen(ask("waits", 10, { firstTokenDeadline: 500, deadline: 6_000 }), 10);
+        chai.expect(driver.happen({ kind: scheduling.EventKind.Wake }, 1_000)).to.be.empty;
+        chai.expect(driver.grants(end("holds"), 1_100)).to.deep.equal(["waits: p1, d1"]);
+    });
+
+    it("starts no prefill before a decode slot is certain", () => {
+        const driver = pool(1, 1, 1);
+        driver.happen(ask("holds", 0, { outputTokens: 100 }), 0);
+        chai.expect(driver.grants(ask("next", 10, { firstTokenDeadline: 9_000 }), 10)).to.be.empty;
+        const endsBy = driver.state.engines.get("d1")?.stays.first()?.[0].endsBy ?? 0;
+        const wakeAt = driver.state.wakeAt;
+        const [action] = driver.happen({ kind: scheduling.EventKind.Wake }, wakeAt);
+        chai.expect(action).to.include({ kind: scheduling.ActionKind.Grant, id: "next" });
+        const grant = action as Extract<scheduling.Action, { kind: scheduling.ActionKind.Grant; }>;
+        chai.expect(grant.startAt + grant.prefillMs).to.be.at.least(endsBy - 0.001);
+        chai.expect(grant.startAt + grant.prefillMs).to.be.below(endsBy + support.settings.prefillSurvivalMs);
+    });
+
+    it("places no two suspects on one engine", () => {
+        const driver = pool(5, 2, 2);
+        const placed = [0, 1, 2].flatMap((index) =>
+            driver.grants(ask(`suspect-${index}`, 0, { suspect: true }), index)
+        );
+        chai.expect(placed).to.have.length(2);
+        chai.expect(new Set(placed.flatMap((line) => line.split(": ")[1]?.split(", "))).size).to.equal(4);
+        chai.expect(driver.grants(end("suspect-0"), 100)).to.have.length(1);
+    });
+
+    it("sends a prompt where its prefix is, though cache events are lost or late", () => {
+        const driver = pool(5, 1, 3);
+        const prefixHashes = ["a", "b", "c"];
+        const [first] = driver.grants(ask("one", 0, { prefixHashes }), 0);
+        const engine = first?.split(": ")[1]?.split(",")[0] ?? "";
+        const change = (sequence: number, stored: boolean, hash: string): scheduling.Event => ({
+            kind: scheduling.EventKind.CacheChange,
+            engine,
+            sequence,
+            stored,
+            hash,
+        });
+        driver.happen(change(1, true, "x"), 200);
+        driver.happen(change(7, false, "c"), 300);
+        chai.expect(driver.grants(ask("two", 400, { prefixHashes }), 400)[0]).to.include(engine);
+        driver.happen(change(8, false, "c"), 3_000);
+        driver.happen(change(6, true, "c"), 3_000);
+        const held = driver.state.prefixes.holders;
+        chai.expect(held.get("c")).to.equal(undefined);
+        chai.expect(held.get("b")).to.deep.equal([engine]);
+    });
+
+    it("leaves out an engine that is slow and tries it again", () => {
+        const driver = pool(20, 2, 2);
+        driver.grants(ask("one", 0), 0);
+        driver.grants(ask("two", 0), 1);
+        const slow = driver.state.stays.get("one")?.decode ?? "";
+        driver.happen({ kind: scheduling.EventKind.Progress, id: "one", tokenMs: 300 }, 500);
+        driver.happen(end("one"), 600);
+        const decodes = (from: number, to: number) =>
+            Array.from({ length: to - from }, (_, index) => {
+                const now = from + index;
+                driver.happen(ask(`later-${now}`, now * 100), now * 100);
+                const stay = driver.state.stays.get(`later-${now}`);
+                driver.happen(end(`later-${now}`), now * 100 + 60);
+                return stay?.decode;
+            });
+        const chosen = decodes(10, 60);
+        chai.expect(chosen.filter((name) => name === slow)).to.have.length(1);
+        chai.expect(chosen).to.have.length(50);
+    });
+
+    it("holds back an engine in a crash loop for longer each time", () => {
+        const driver = pool(20, 1, 1);
+        const holds: number[] = [];
+        for (let crash = 0, now = 10_000; crash < 4; crash++, now += 40_000) {
+            driver.happen(report("d1", Decode, 20, crash * 2 + 1), now);
+            driver.happen(ask(`run-${crash}`, now), now);
+            driver.happen(end(`run-${crash}`, ["d1"]), now + 100);
+            chai.expect(driver.grants(ask(`after-${crash}`, now + 110), now + 110)).to.be.empty;
+            driver.happen(end(`after-${crash}`), now + 120);
+            driver.happen(report("d1", Decode, 20, crash * 2 + 2), now + 2_000);
+            holds.push((driver.state.engines.get("d1")?.heldBackUntil ?? 0) - now - 100);
+        }
+        chai.expect(holds).to.deep.equal([0, 1_000, 2_000, 4_000]);
+    });
+
+    it("keeps retries to a share of the successes", () => {
+        const driver = pool(20, 20, 5);
+        let refused = 0;
+        for (let index = 0; index < 200; index++) {
+            const actions = driver.happen(ask(`retry-${index}`, index * 100, { retry: true }), index * 100);
+            refused += actions.filter((action) => action.kind === scheduling.ActionKind.Refuse).length;
+            driver.happen(end(`retry-${index}`, [], false), index * 100 + 50);
+        }
+        chai.expect(refused).to.equal(120);
+    });
+
+    it("counts what a former owner placed, and trusts its own count over a report that lags", () => {
+        const driver = new support.Driver();
+        driver.happen(report("p1", Prefill, 0), 0);
+        const busy = (running: number, sequence: number): scheduling.Event => {
+            const event = report("d1", Decode, 2, sequence);
+            return event.kind === scheduling.EventKind.Report
+                ? { ...event, report: { ...event.report, running, heldPieces: running * 20 } }
+                : event;
+        };
+        driver.happen(busy(1, 0), 0);
+        chai.expect(driver.grants(ask("one", 10), 10)).to.have.length(1);
+        chai.expect(driver.grants(ask("two", 20), 20)).to.be.empty;
+        chai.expect(driver.grants(busy(0, 1), 300)).to.deep.equal(["two: p1, d1"]);
+        driver.happen(end("one"), 2_000);
+        driver.happen(end("two"), 2_000);
+        driver.happen(busy(2, 2), 2_500);
+        chai.expect(driver.state.freeSlots).to.equal(2);
+    });
+});
