Run the policy in the router: an owner for each shard of a pool

The owner of a shard holds queue and reservations (p-queue with the fair queue), polls the engines and answers the other hosts; they ask again, and place by the engines' own word when no owner answers.

--- a/packages/router/src/schedulingshell.ts
+++ b/packages/router/src/schedulingshell.ts
@@ -1,11 +1,17 @@
 import type * as decision from "@citronlead/decision";
 import * as lifecycle from "@citronlead/lifecycle";
-import * as upstream from "@citronlead/upstream";
-import * as pQueue from "p-queue";
+import * as membershipDecisions from "@citronlead/membership";
+import * as scheduling from "@citronlead/scheduling";
 import type * as configurations from "./configurationshell.js";
-import type * as contexts from "./context.js";
+import * as contexts from "./context.js";
 import type * as memberships from "./membershipshell.js";
 import type * as peers from "./peers.js";
+import * as clients from "./schedulingclient.js";
+import * as fallbacks from "./schedulingfallback.js";
+import * as messages from "./schedulingmessages.js";
+import * as owners from "./schedulingowner.js";
+import * as progress from "./schedulingprogress.js";
+import * as shards from "./schedulingshards.js";
 import type * as upstreams from "./upstreams.js";
 
 /** What a request asks of a pool of model engines. */
@@ -25,6 +31,8 @@
     readonly prefixHashes: readonly string[];
     /** Upstreams that this request must not be placed on again. */
     readonly avoid: readonly string[];
+    /** Whether the request was placed before; it then counts against the retry budget. */
+    readonly retry?: boolean;
     readonly signal: AbortSignal;
 }
 
@@ -33,6 +41,8 @@
     readonly outputTokens: number;
     /** Upstreams that failed while they ran the request. */
     readonly failed: readonly string[];
+    /** Whether the answer is whole. */
+    readonly whole?: boolean;
 }
 
 /** Where and when a request runs. */
@@ -41,6 +51,10 @@
     readonly decode: upstreams.KnownUpstream;
     /** How long to wait before the prefill starts, in milliseconds. */
     readonly startAfterMs: decision.Milliseconds;
+    /** How long the prefill is thought to take; undefined if nobody knows. */
+    readonly prefillMs?: decision.Milliseconds;
+    /** Tells what was seen of the request on its way. */
+    readonly progress?: (seen: progress.PlacementProgress) => void;
     /** Gives the slot back. Only the first call counts. */
     readonly end: (report: PlacementReport) => void;
 }
@@ -67,65 +81,293 @@
     readonly place: (wish: PlacementWish) => Promise<PlacementOutcome>;
 }
 
-const LOAD_PERIOD_MS = 250;
-const LOAD_TIMEOUT_MS = 500;
+/** How often this host looks which shards it owns. */
+const OWNERSHIP_PERIOD_MS = 250;
 const RETRY_AFTER_MS = 1_000;
 
 /** Starts scheduling. */
 export function startScheduling(
     context: contexts.Context,
     configuration: configurations.ConfigurationInForce,
-    _membership: memberships.Membership,
+    membership: memberships.Membership,
     known: upstreams.Upstreams,
-    _links: peers.Peers,
+    links: peers.Peers,
 ): Scheduling {
-    const queues = new Map<string, pQueue.default>();
-    const queueFor = (pool: string) => {
-        const queue = queues.get(pool) ?? new pQueue.default({ concurrency: 1 });
-        queues.set(pool, queue);
-        return queue;
-    };
-    pollLoads(context, configuration, known);
-    return {
-        place: (wish) =>
-            queueFor(wish.pool).add(async () => placeOnLeastLoaded(known, wish), { priority: -wish.priority }),
-    };
+    const shell = new SchedulingShell(context, configuration, membership, known, links);
+    return { place: (wish) => shell.place(wish) };
 }
 
-function placeOnLeastLoaded(known: upstreams.Upstreams, wish: PlacementWish): PlacementOutcome {
-    const usable = known.usable(wish.pool).filter((candidate) => !wish.avoid.includes(candidate.name));
-    const least = (role: upstream.EngineRole) =>
-        usable
-            .filter((candidate) => candidate.load?.role === role)
-            .sort((left, right) => (left.load?.heldPieces ?? 0) - (right.load?.heldPieces ?? 0))[0];
-    const prefill = least(upstream.EngineRole.Prefill);
-    const decode = least(upstream.EngineRole.Decode);
-    return prefill && decode
-        ? { placed: true, placement: { prefill, decode, startAfterMs: 0, end: () => undefined } }
-        : { placed: false, refusal: PlacementRefusal.Shed, retryAfterMs: RETRY_AFTER_MS };
+function shardKey({ pool, shard }: shards.ShardName): string {
+    return `${pool}/${shard}`;
 }
 
-function pollLoads(
-    context: contexts.Context,
-    configuration: configurations.ConfigurationInForce,
-    known: upstreams.Upstreams,
-): void {
-    lifecycle.every(context.scope, LOAD_PERIOD_MS, () => {
-        const models = Object.values(configuration.current()?.fleet.models ?? {});
-        for (const host of new Set(models.map((model) => model.pool))) {
-            known.all(host).forEach((candidate) => void pollLoad(context, known, candidate));
-        }
-    });
+function partitionOf({ pool, shard }: shards.ShardName): string {
+    return membershipDecisions.poolPartition(pool, shard);
 }
 
-async function pollLoad(
-    context: contexts.Context,
-    known: upstreams.Upstreams,
-    candidate: upstreams.KnownUpstream,
-): Promise<void> {
-    const target = { address: candidate.address, agent: context.agent, timeoutMs: LOAD_TIMEOUT_MS };
-    const outcome = await upstream.readLoad(target);
-    if (outcome.result === upstream.CallResult.Done) {
-        known.noteLoad(candidate.name, outcome.value);
+/** Owns the shards that are this host's to own, and asks the owners of the others. */
+class SchedulingShell {
+    private readonly owned = new Map<string, { readonly name: shards.ShardName; readonly owner: owners.ShardOwner; }>();
+    private readonly client: clients.ReservationClient;
+    private readonly fallback: fallbacks.LocalPlacement;
+    private readonly filter = new progress.ProgressFilter();
+    private count = 0;
+
+    constructor(
+        private readonly context: contexts.Context,
+        private readonly configuration: configurations.ConfigurationInForce,
+        private readonly membership: memberships.Membership,
+        private readonly known: upstreams.Upstreams,
+        private readonly links: peers.Peers,
+    ) {
+        this.client = new clients.ReservationClient(context);
+        this.fallback = new fallbacks.LocalPlacement(context, known);
+        links.receive("scheduling", (arrival) => this.receive(arrival));
+        lifecycle.every(context.scope, OWNERSHIP_PERIOD_MS, () => this.checkOwnership());
+        membership.onChange(() => this.keepHolders());
+        membership.beforeHandOver(async (partition) => this.handOver(partition));
+        configuration.onChange((current) => {
+            for (const { name, owner } of this.owned.values()) {
+                const settings = shards.schedulerSettings(current.fleet, name.pool);
+                if (settings) {
+                    owner.settle(settings);
+                }
+            }
+        });
+    }
+
+    /** Places a request: by the owner of its shard, or without one if none answers. */
+    async place(wish: PlacementWish): Promise<PlacementOutcome> {
+        const name = this.shardOf(wish);
+        const ask = this.makeAsk(wish);
+        const outcome = await this.client.ask(ask, {
+            signal: wish.signal,
+            deadline: wish.deadline,
+            send: () => this.sendToOwner({ kind: messages.ToOwnerKind.Ask, shard: name, ask }),
+        });
+        const end = (report: PlacementReport) =>
+            void this.sendToOwner({
+                kind: messages.ToOwnerKind.End,
+                shard: name,
+                end: { id: ask.id, whole: false, ...report },
+            });
+        switch (outcome.kind) {
+            case clients.OutcomeKind.Aborted:
+                end({ outputTokens: 0, failed: [] });
+                return { placed: false, refusal: PlacementRefusal.Aborted, retryAfterMs: RETRY_AFTER_MS };
+            case clients.OutcomeKind.Unanswered:
+                end({ outputTokens: 0, failed: [] });
+                return this.placeAlone(wish, name);
+            case clients.OutcomeKind.Answered:
+                return this.takeAnswer(name, ask, outcome.answer, end);
+        }
+    }
+
+    private shardOf(wish: PlacementWish): shards.ShardName {
+        return { pool: wish.pool, shard: shards.shardOf(wish.requestId, this.known.all(wish.pool).length) };
+    }
+
+    private makeAsk(wish: PlacementWish): scheduling.Ask {
+        const prefixes = thinPrefixes(wish.prefixHashes);
+        return {
+            id: `${wish.requestId}#${this.count++}`,
+            holder: contexts.holderOf(this.context),
+            workspace: wish.workspace,
+            priority: wish.priority,
+            promptTokens: wish.promptTokens,
+            outputTokens: Math.max(1, wish.outputTokens),
+            firstTokenDeadline: wish.firstTokenDeadline,
+            deadline: wish.deadline,
+            suspect: wish.suspect,
+            prefixHashes: prefixes.map((prefix) => prefix.hash),
+            prefixTokens: prefixes.map((prefix) => prefix.tokens),
+            avoid: wish.avoid,
+            retry: wish.retry ?? wish.avoid.length > 0,
+        };
+    }
+
+    private takeAnswer(
+        name: shards.ShardName,
+        ask: scheduling.Ask,
+        answer: messages.FromOwner,
+        end: (report: PlacementReport) => void,
+    ): PlacementOutcome {
+        if (answer.standing === owners.Standing.Refused) {
+            return { placed: false, refusal: PlacementRefusal.Shed, retryAfterMs: answer.retryAfterMs };
+        }
+        const prefill = this.known.find(answer.prefill);
+        const decode = this.known.find(answer.decode);
+        if (!prefill || !decode) {
+            // The owner's list is ahead of this host's.
+            end({ outputTokens: 0, failed: [] });
+            return { placed: false, refusal: PlacementRefusal.Shed, retryAfterMs: RETRY_AFTER_MS };
+        }
+        const { startAfterMs, prefillMs } = answer;
+        const tell = (seen: progress.PlacementProgress) => {
+            if (this.filter.isTelling(seen, answer)) {
+                const told = { id: ask.id, ...seen };
+                this.sendToOwner({ kind: messages.ToOwnerKind.Progress, shard: name, progress: told });
+            }
+        };
+        return {
+            placed: true,
+            placement: { prefill, decode, startAfterMs, prefillMs, progress: tell, end: onlyOnce(end) },
+        };
+    }
+
+    private async placeAlone(wish: PlacementWish, name: shards.ShardName): Promise<PlacementOutcome> {
+        const engines = this.enginesOf(name).filter((engine) => this.isUsable(engine));
+        const choice = await this.fallback.choose(engines, wish.avoid);
+        if (wish.signal.aborted) {
+            return { placed: false, refusal: PlacementRefusal.Aborted, retryAfterMs: RETRY_AFTER_MS };
+        }
+        return choice
+            ? { placed: true, placement: { ...choice, startAfterMs: 0, end: () => undefined } }
+            : { placed: false, refusal: PlacementRefusal.Shed, retryAfterMs: RETRY_AFTER_MS };
+    }
+
+    private isUsable(engine: upstreams.KnownUpstream): boolean {
+        return this.known.usable(engine.pool).some((one) => one.name === engine.name);
+    }
+
+    private enginesOf(name: shards.ShardName): readonly upstreams.KnownUpstream[] {
+        return shards.shardEngines(this.known.all(name.pool), name.shard);
+    }
+
+    /** Sends to the owner as known now. Returns false if none is known. */
+    private sendToOwner(message: messages.ToOwner): boolean {
+        const owner = this.ownedShard(message.shard);
+        if (owner) {
+            this.takeAsOwner(owner, message, (id, answer) => this.client.take(messages.describeAnswer(id, answer)));
+            return true;
+        }
+        const target = this.membership.ownerOf(partitionOf(message.shard));
+        if (!target || target.host === this.context.settings.host) {
+            return false;
+        }
+        const value = messages.encodeToOwner(message, this.context.clock());
+        this.links.send(target.host, target.peerAddress, { case: "scheduling", value });
+        return true;
+    }
+
+    private takeAsOwner(
+        owner: owners.ShardOwner,
+        message: messages.ToOwner,
+        answer: (id: string, answer: owners.OwnerAnswer) => void,
+    ): void {
+        switch (message.kind) {
+            case messages.ToOwnerKind.Ask:
+                owner.ask(message.ask, (answered) => answer(message.ask.id, answered));
+                break;
+            case messages.ToOwnerKind.Progress:
+                owner.happen({ kind: scheduling.EventKind.Progress, ...message.progress });
+                break;
+            case messages.ToOwnerKind.End:
+                owner.happen({ kind: scheduling.EventKind.End, ...message.end });
+                break;
+        }
+    }
+
+    private receive(arrival: peers.Arrival): void {
+        if (arrival.message.body.case !== "scheduling") {
+            return;
+        }
+        const message = arrival.message.body.value;
+        const reply = messages.decodeAnswer(message);
+        if (reply) {
+            this.client.take(reply);
+            return;
+        }
+        const holder = `${arrival.sender}/${arrival.senderIncarnation}`;
+        const request = messages.decodeToOwner(message, holder, this.context.clock());
+        if (!request) {
+            return;
+        }
+        const answer = (id: string, answered: owners.OwnerAnswer) => this.reply(arrival.sender, id, answered);
+        const owner = this.ownedShard(request.shard);
+        if (owner) {
+            this.takeAsOwner(owner, request, answer);
+        }
+        else if (request.kind === messages.ToOwnerKind.Ask) {
+            answer(request.ask.id, { standing: owners.Standing.NotOwner });
+        }
     }
+
+    private reply(host: string, id: string, answer: owners.OwnerAnswer): void {
+        const target = this.membership.roster().find((one) => one.host === host);
+        if (target) {
+            const value = messages.encodeAnswer(id, answer);
+            this.links.send(target.host, target.peerAddress, { case: "scheduling", value });
+        }
+    }
+
+    /** This host's part as owner of a shard, if it has the right now. */
+    private ownedShard(name: shards.ShardName): owners.ShardOwner | undefined {
+        const key = shardKey(name);
+        const entry = this.owned.get(key);
+        if (!this.membership.rightFor(partitionOf(name))) {
+            this.disown(key);
+            return undefined;
+        }
+        const fleet = this.configuration.current()?.fleet;
+        const settings = fleet && shards.schedulerSettings(fleet, name.pool);
+        if (entry || !settings) {
+            return entry?.owner;
+        }
+        const { context, known } = this;
+        const owner = new owners.ShardOwner({ context, known, engines: () => this.enginesOf(name) }, settings);
+        this.owned.set(key, { name, owner });
+        context.log.info({ pool: name.pool, shard: name.shard }, "owns a shard of engines");
+        return owner;
+    }
+
+    private disown(key: string): void {
+        const entry = this.owned.get(key);
+        if (entry) {
+            this.owned.delete(key);
+            void entry.owner.close();
+            this.context.log.info({ pool: entry.name.pool, shard: entry.name.shard }, "owns a shard no longer");
+        }
+    }
+
+    private checkOwnership(): void {
+        const fleet = this.configuration.current()?.fleet;
+        const names = fleet ? shards.allShards(fleet, (pool) => this.known.all(pool).length) : [];
+        const wanted = new Set(names.map(shardKey));
+        [...this.owned.keys()].filter((key) => !wanted.has(key)).forEach((key) => this.disown(key));
+        names.forEach((name) => this.ownedShard(name));
+    }
+
+    private keepHolders(): void {
+        const present = new Set(this.membership.roster().map((host) => `${host.host}/${host.incarnation}`));
+        present.add(contexts.holderOf(this.context));
+        this.owned.forEach(({ owner }) => owner.keepHolders(present));
+    }
+
+    private handOver(partition: string): void {
+        for (const [key, { name }] of this.owned) {
+            if (partitionOf(name) === partition) {
+                this.disown(key);
+            }
+        }
+    }
+}
+
+function onlyOnce(end: (report: PlacementReport) => void): (report: PlacementReport) => void {
+    let ended = false;
+    return (report) => {
+        if (!ended) {
+            ended = true;
+            end(report);
+        }
+    };
+}
+
+/** Picks prefixes at doubling lengths, and the longest: few hashes tell nearly as much as all and cost fewer bytes. */
+function thinPrefixes(hashes: readonly string[]): readonly { readonly hash: string; readonly tokens: number; }[] {
+    return hashes.flatMap((hash, index) => {
+        const length = index + 1;
+        const kept = length === hashes.length || (length & (length - 1)) === 0;
+        return kept ? [{ hash, tokens: length * shards.PREFIX_TOKENS }] : [];
+    });
 }
--- a/packages/scheduling/src/engines.ts
+++ b/packages/scheduling/src/engines.ts
@@ -179,7 +179,7 @@
 const LONGEST_HOLD_MS = 60_000;
 
 /**
- * Takes note of a failure. The engine gets no work until it reports anew; from the second failure within the window on it
+ * Takes note of a failure of an engine that was in use. The engine gets no work until it reports anew; from the second failure within the window on it
  * is also held back for a time that doubles with each, so that a crash loop gets little work.
  */
 export function takeFailure(engine: Engine, now: decision.Milliseconds): Engine {
--- a/packages/scheduling/src/messages.ts
+++ b/packages/scheduling/src/messages.ts
@@ -44,6 +44,8 @@
     readonly suspect: boolean;
     /** Hashes of the prompt's prefixes, shortest first. */
     readonly prefixHashes: readonly string[];
+    /** How many tokens each of these prefixes has; if left out, each is longer by the same number. */
+    readonly prefixTokens?: readonly number[];
     /** Engines that the request must not be placed on. */
     readonly avoid: readonly string[];
     /** Whether the request was placed before: it counts against the retry budget. */
@@ -71,6 +73,7 @@
     End = "end",
     Report = "report",
     CacheChange = "cache-change",
+    EngineFailed = "engine-failed",
     EngineGone = "engine-gone",
     HoldersGone = "holders-gone",
     Settings = "settings",
@@ -108,6 +111,7 @@
         readonly stored: boolean;
         readonly hash: string;
     }
+    | { readonly kind: EventKind.EngineFailed; readonly engine: string; }
     | { readonly kind: EventKind.EngineGone; readonly engine: string; }
     | { readonly kind: EventKind.HoldersGone; readonly holders: readonly string[]; }
     | { readonly kind: EventKind.Settings; readonly settings: Settings; }
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -55,7 +55,12 @@
 /** The tokens of a prompt that an engine holds already. */
 export function cachedTokens(state: states.State, engine: string, ask: messages.Ask): number {
     const length = prefixes.heldLength(state.prefixes, engine, ask.prefixHashes);
-    return Math.min(ask.promptTokens - 1, length * state.settings.prefixTokens);
+    return Math.min(ask.promptTokens - 1, prefixLength(state.settings, ask, length));
+}
+
+/** How many tokens the first so many prefix hashes of a request stand for. */
+export function prefixLength(settings: messages.Settings, ask: messages.Ask, hashes: number): number {
+    return ask.prefixTokens ? ask.prefixTokens[hashes - 1] ?? 0 : hashes * settings.prefixTokens;
 }
 
 /**
--- a/packages/scheduling/src/queueclass.ts
+++ b/packages/scheduling/src/queueclass.ts
@@ -17,6 +17,16 @@
     private readonly waiting = new Map<string, Run>();
     private readonly decided: Run[] = [];
 
+    /** The queue class for a p-queue that uses this queue, so that its maker can release entries. */
+    static holding(queue: FairQueue): new() => FairQueue {
+        return class extends FairQueue {
+            constructor() {
+                super();
+                return queue;
+            }
+        };
+    }
+
     /** How many entries p-queue may run now. */
     get size(): number {
         return this.decided.length;
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -58,6 +58,8 @@
             return quietly(stays.takeReport(state, event.report, now));
         case messages.EventKind.CacheChange:
             return quietly(takeCacheChange(state, event, now));
+        case messages.EventKind.EngineFailed:
+            return quietly(stays.failEngine(state, event.engine, now));
         case messages.EventKind.EngineGone:
             return quietly(states.dropEngine(state, event.engine));
         case messages.EventKind.HoldersGone:
@@ -105,7 +107,7 @@
 /** The shares of the pool's prefill and decode that a request is thought to take, in milliseconds of all engines. */
 function shares(state: states.State, ask: messages.Ask): { prefillMs: number; decodeMs: number; } {
     const held = prefixes.longestHeld(state.prefixes, ask.prefixHashes)?.length ?? 0;
-    const tokens = Math.max(1, ask.promptTokens - held * state.settings.prefixTokens);
+    const tokens = Math.max(1, ask.promptTokens - placement.prefixLength(state.settings, ask, held));
     return {
         prefillMs: tokens / state.prefillTokensPerSecond * 1_000 / Math.max(1, state.prefillIndex.size),
         decodeMs: ask.outputTokens * state.outputShare * state.tokenMs / Math.max(1, state.decodeSlots),
--- a/packages/scheduling/src/stays.ts
+++ b/packages/scheduling/src/stays.ts
@@ -118,7 +118,8 @@
     });
 }
 
-function failEngine(state: states.State, name: string, now: decision.Milliseconds): states.State {
+/** Takes note that an engine failed. */
+export function failEngine(state: states.State, name: string, now: decision.Milliseconds): states.State {
     const engine = state.engines.get(name);
     return engine
         ? {
