--- a/packages/platform/src/hosts.ts
+++ b/packages/platform/src/hosts.ts
@@ -38,13 +38,34 @@
     timeoutMs: decision.Milliseconds,
     agent?: http.Agent,
 ): Promise<decision.Outcome<readonly ListedHost[]>> {
-    const outcome = await jsonCall.callJson({ url: `${address}/hosts`, timeoutMs, agent });
-    if (outcome.effect === decision.Effect.Known) {
-        const parsed = listSchema.safeParse(outcome.value.body);
-        if (outcome.value.status !== 200 || !parsed.success) {
+    return followHosts(address, timeoutMs, agent)();
+}
+
+/** Makes a reader of the list that has it sent again only when it has changed since its last reading. */
+export function followHosts(
+    address: string,
+    timeoutMs: decision.Milliseconds,
+    agent?: http.Agent,
+): () => Promise<decision.Outcome<readonly ListedHost[]>> {
+    let last: { readonly tag: string; readonly hosts: readonly ListedHost[]; } | undefined;
+    return async () => {
+        const headers: http.OutgoingHttpHeaders = last ? { "if-none-match": last.tag } : {};
+        const outcome = await jsonCall.callJson({ url: `${address}/hosts`, timeoutMs, agent, headers });
+        if (outcome.effect !== decision.Effect.Known) {
+            return keyvalue.map(outcome, () => []);
+        }
+        const { status, body, headers: answered } = outcome.value;
+        if (status === NOT_MODIFIED && last) {
+            return decision.known(last.hosts);
+        }
+        const parsed = listSchema.safeParse(body);
+        if (status !== 200 || !parsed.success) {
             return decision.noEffect("the host list has an unknown shape");
         }
-        return decision.known(parsed.data.hosts);
-    }
-    return keyvalue.map(outcome, () => []);
+        const { hosts } = parsed.data;
+        last = answered.etag === undefined ? undefined : { tag: answered.etag, hosts };
+        return decision.known(hosts);
+    };
 }
+
+const NOT_MODIFIED = 304;
--- a/packages/router/src/modelpath.ts
+++ b/packages/router/src/modelpath.ts
@@ -2,7 +2,9 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as upstream from "@citronlead/upstream";
 import * as callerRequests from "./callerrequest.js";
+import type * as contexts from "./context.js";
 import * as enginememory from "./enginememory.js";
+import * as agents from "./modelpathagent.js";
 import type * as parts from "./parts.js";
 import * as quarantines from "./quarantineshell.js";
 import * as refusals from "./refusal.js";
@@ -43,6 +45,12 @@
 const SILENCE_MS = 10_000;
 const ATTEMPT_LIMIT = 3;
 const RESUME_LIMIT = 3;
+/** A slot that is not free yet is asked for again after this pause. */
+const SLOT_PAUSE_MS = 20;
+/** A prefill that takes this much longer than thought is told of before it is done. */
+const OVERDUE_FACTOR = 2;
+const OVERDUE_MARGIN_MS = 50;
+const PACE_PIECES = 8;
 
 /** The state of one request on its way through prefill and decode. */
 interface Journey {
@@ -97,7 +105,7 @@
         if (verdict.standing === quarantines.Standing.Quarantined) {
             return refused(journey, quarantineRefusal(journey, verdict));
         }
-        const placed = await journey.parts.scheduling.place(placementWish(journey));
+        const placed = await journey.parts.scheduling.place(placementWish(journey, attempt > 0));
         if (!placed.placed) {
             return refused(journey, placementRefusal(journey, placed));
         }
@@ -109,7 +117,7 @@
         });
         const failed: string[] = [];
         const leg = await runPlacement(journey, placement, failed);
-        placement.end({ outputTokens: journey.assembly.next, failed });
+        placement.end({ outputTokens: journey.assembly.next, failed, whole: leg === Leg.Whole });
         journey.memory.letGo();
         journey.avoid.push(...failed);
         if (leg === Leg.Whole && journey.finish !== undefined) {
@@ -144,7 +152,7 @@
     }
 }
 
-function placementWish(journey: Journey): schedulings.PlacementWish {
+function placementWish(journey: Journey, retry: boolean): schedulings.PlacementWish {
     const { wish, request } = journey;
     return {
         requestId: request.requestId,
@@ -157,7 +165,8 @@
         deadline: request.deadline,
         suspect: journey.parts.quarantine.verdict(wish.fingerprint).standing === quarantines.Standing.Suspect,
         prefixHashes: wish.prefixHashes,
-        avoid: journey.avoid,
+        avoid: [...journey.avoid],
+        retry,
         signal: request.signal,
     };
 }
@@ -191,11 +200,7 @@
         return legAfterFailure(journey);
     }
     const attempt = journey.memory.attemptAt(placement.decode.address);
-    const imported = await upstream.importCache(targetOf(journey, placement.decode.address), {
-        ...attempt,
-        source: placement.prefill.address,
-        handle: prefilled.handle,
-    });
+    const imported = await importUntilFree(journey, placement, attempt, prefilled);
     noteCall(journey, placement.decode.name, "import", imported, failed);
     if (imported.result !== upstream.CallResult.Done) {
         return legAfterFailure(journey);
@@ -203,6 +208,34 @@
     return stream(journey, placement, attempt, failed);
 }
 
+/** Imports the prefill's result. A slot that is taken still is tried for as long as the result lives. */
+async function importUntilFree(
+    journey: Journey,
+    placement: schedulings.Placement,
+    attempt: upstream.Attempt,
+    prefilled: upstream.PrefillResult,
+): Promise<upstream.CallOutcome<unknown>> {
+    const { context } = journey.parts;
+    const expiresAt = context.clock() + prefilled.survivalMs;
+    for (;;) {
+        const startedAt = context.clock();
+        const outcome = await upstream.importCache(targetOf(journey, placement.decode.address), {
+            ...attempt,
+            source: placement.prefill.address,
+            handle: prefilled.handle,
+        });
+        const refusal = outcome.result === upstream.CallResult.Refused ? outcome.refusal : undefined;
+        const busy = refusal === upstream.UpstreamRefusal.Busy && context.clock() + SLOT_PAUSE_MS < expiresAt;
+        if (!busy || journey.request.signal.aborted) {
+            if (outcome.result === upstream.CallResult.Done || refusal === upstream.UpstreamRefusal.Expired) {
+                placement.progress?.({ transferMs: context.clock() - startedAt });
+            }
+            return outcome;
+        }
+        await pauseUnlessAborted(context.scope, SLOT_PAUSE_MS, journey.request.signal);
+    }
+}
+
 function legAfterFailure(journey: Journey): Leg {
     return journey.request.signal.aborted ? Leg.Aborted : Leg.Again;
 }
@@ -212,23 +245,42 @@
     placement: schedulings.Placement,
     failed: string[],
 ): Promise<upstream.PrefillResult | undefined> {
+    const { context } = journey.parts;
+    const startedAt = context.clock();
+    const cancelOverdue = watchOverdue(context, placement);
     const outcome = await upstream.prefill(targetOf(journey, placement.prefill.address), {
         ...journey.memory.attemptAt(placement.prefill.address),
         prompt: journey.wish.prompt,
         priority: journey.wish.priority,
     });
+    cancelOverdue();
     noteCall(journey, placement.prefill.name, "prefill", outcome, failed);
     if (outcome.result !== upstream.CallResult.Done) {
         return undefined;
     }
     journey.promptTokens = outcome.value.promptTokens;
+    const { cachedTokens } = outcome.value;
+    placement.progress?.({ prefillMs: context.clock() - startedAt, prefillDone: true, cachedTokens });
     return outcome.value;
 }
 
+/** Tells the owner of a prefill that takes much longer than thought. Returns a function that ends the watch. */
+function watchOverdue(context: contexts.Context, placement: schedulings.Placement): () => void {
+    if (placement.prefillMs === undefined) {
+        return () => undefined;
+    }
+    const overdueMs = placement.prefillMs * OVERDUE_FACTOR + OVERDUE_MARGIN_MS;
+    return lifecycle.after(
+        context.scope,
+        overdueMs,
+        () => placement.progress?.({ prefillMs: overdueMs, prefillDone: false }),
+    );
+}
+
 function targetOf(journey: Journey, address: string): upstream.EngineTarget {
     return {
         address,
-        agent: journey.parts.context.agent,
+        agent: agents.guardConnections(journey.parts.context.agent),
         timeoutMs: Math.max(1, Math.min(CALL_TIMEOUT_MS, journey.request.deadline - journey.parts.context.clock())),
         signal: journey.request.signal,
     };
@@ -263,6 +315,8 @@
     attempt: upstream.Attempt,
     failed: string[],
 ): Promise<Leg> {
+    const pace = watchPace(journey, placement);
+    let broke = false;
     for (let resumption = 0; resumption < RESUME_LIMIT; resumption++) {
         const outcome = await upstream.decode(targetOf(journey, placement.decode.address), {
             ...attempt,
@@ -271,7 +325,10 @@
             priority: journey.wish.priority,
         }, {
             silenceMs: SILENCE_MS,
-            take: (piece) => takePiece(journey, piece),
+            take: (piece) => {
+                pace();
+                return takePiece(journey, piece);
+            },
         });
         journey.parts.context.metrics.upstreamCalls.inc({ call: "decode", result: outcome.end });
         journey.request.note(placement.decode.name, `decode ${outcome.end}`, { next: journey.assembly.next });
@@ -284,13 +341,34 @@
         if (outcome.end === upstream.StreamEnd.Refused || outcome.end === upstream.StreamEnd.Unreachable) {
             break;
         }
+        broke ||= outcome.end === upstream.StreamEnd.Cut || outcome.end === upstream.StreamEnd.Garbage;
     }
     failed.push(placement.decode.name);
-    const { fingerprint } = journey.wish;
-    journey.parts.quarantine.noteBreak(fingerprint, placement.decode.name, journey.request.requestId);
+    if (journey.assembly.next >= journey.wish.outputTokens) {
+        // Only the end was lost: the answer is as long as it may be.
+        journey.finish = upstream.FinishReason.Length;
+        return Leg.Whole;
+    }
+    if (broke) {
+        const { fingerprint } = journey.wish;
+        journey.parts.quarantine.noteBreak(fingerprint, placement.decode.name, journey.request.requestId);
+    }
     return Leg.Again;
 }
 
+/** Tells the owner the time between tokens once a few have come. */
+function watchPace(journey: Journey, placement: schedulings.Placement): () => void {
+    const { clock } = journey.parts.context;
+    const startedAt = clock();
+    let pieces = 0;
+    return () => {
+        pieces++;
+        if (pieces === PACE_PIECES) {
+            placement.progress?.({ tokenMs: (clock() - startedAt) / PACE_PIECES });
+        }
+    };
+}
+
 async function takePiece(journey: Journey, piece: upstream.Piece): Promise<upstream.Continue> {
     const { state, actions } = upstream.assemble(journey.assembly, piece);
     journey.assembly = state;
--- a/packages/router/src/schedulingshell.ts
+++ b/packages/router/src/schedulingshell.ts
@@ -5,6 +5,7 @@
 import type * as configurations from "./configurationshell.js";
 import * as contexts from "./context.js";
 import type * as memberships from "./membershipshell.js";
+import * as agents from "./modelpathagent.js";
 import type * as peers from "./peers.js";
 import * as clients from "./schedulingclient.js";
 import * as fallbacks from "./schedulingfallback.js";
@@ -93,6 +94,7 @@
     known: upstreams.Upstreams,
     links: peers.Peers,
 ): Scheduling {
+    agents.guardConnections(context.agent);
     const shell = new SchedulingShell(context, configuration, membership, known, links);
     return { place: (wish) => shell.place(wish) };
 }
--- a/packages/router/src/upstreams.ts
+++ b/packages/router/src/upstreams.ts
@@ -33,13 +33,17 @@
     const departing = new Set<string>();
     const loads = new Map<string, { report: upstream.LoadReport; at: decision.Milliseconds; }>();
     const listeners: (() => void)[] = [];
+    const { platform: where } = context.settings;
+    const readHosts = platform.followHosts(where.hostList, where.timeout, context.control.agent);
     const refresh = async () => {
-        const { platform: where } = context.settings;
-        const outcome = await platform.readHosts(where.hostList, where.timeout, context.control.agent);
+        const outcome = await readHosts();
         if (outcome.effect !== decision.Effect.Known) {
             context.log.warn({ reason: outcome.reason }, "host list not read");
             return;
         }
+        if (listed === outcome.value) {
+            return;
+        }
         listed = outcome.value;
         const names = new Set(listed.map((host) => host.name));
         [...departing].filter((name) => !names.has(name)).forEach((name) => departing.delete(name));
@@ -64,6 +68,10 @@
         noteDeparting: (name) => departing.add(name),
         noteLoad: (name, report) => {
             const former = loads.get(name)?.report;
+            if (former && former.incarnation !== report.incarnation && !report.departing) {
+                // The one that said that it leaves has been replaced.
+                departing.delete(name);
+            }
             if (former?.incarnation !== report.incarnation || former.sequence < report.sequence) {
                 loads.set(name, { report, at: context.clock() });
             }
--- /dev/null
+++ b/packages/router/test/modelpath.test.ts
@@ -0,0 +1,162 @@
+import * as lifecycle from "@citronlead/lifecycle";
+import * as upstream from "@citronlead/upstream";
+import * as chai from "chai";
+import * as fixture from "./modelpathfixture.js";
+
+describe("model path", () => {
+    let scope: lifecycle.Lifecycle;
+    let engines: fixture.TestEngine[];
+
+    beforeEach(async () => {
+        scope = new lifecycle.Lifecycle("test");
+        engines = [
+            await fixture.startEngine(scope, "prefill-1", "prefill"),
+            await fixture.startEngine(scope, "decode-1", "decode"),
+            await fixture.startEngine(scope, "decode-2", "decode"),
+        ];
+    });
+    afterEach(() => scope.close());
+
+    const engine = (name: string) => engines.find((one) => one.name === name) as fixture.TestEngine;
+
+    async function expectWhole(served: fixture.Served): Promise<void> {
+        const outcome = await served.outcome;
+        chai.expect(outcome, served.notes.join("; ")).to.include({ whole: true });
+        chai.expect(served.texts.join("")).to.equal(fixture.ANSWER);
+        await fixture.expectNothingHeld(engines);
+    }
+
+    for (const count of [1, 5, fixture.OUTPUT_TOKENS - 1, fixture.OUTPUT_TOKENS]) {
+        it(`gives the whole answer once when the decode engine dies after token ${count}`, async () => {
+            const served = fixture.serve(scope, engines, {
+                onToken: async (got) => {
+                    if (got === count) {
+                        await engine("decode-1").scope.close();
+                    }
+                },
+            });
+            await expectWhole(served);
+            chai.expect(served.placed[0]).to.equal("prefill-1, decode-1");
+        });
+    }
+
+    it("gives the whole answer when the decode engine dies before the first token", async () => {
+        const served = fixture.serve(scope, engines, {
+            onNote: (note) => note === "decode-1: import done" ? engine("decode-1").scope.close() : undefined,
+        });
+        await expectWhole(served);
+        chai.expect(served.placed).to.have.length(2);
+    });
+
+    it("gives the whole answer when the decode engine dies after the prefill", async () => {
+        const served = fixture.serve(scope, engines, {
+            onNote: (note) => note === "prefill-1: prefill done" ? engine("decode-1").scope.close() : undefined,
+        });
+        await expectWhole(served);
+    });
+
+    it("gives the whole answer when the prefill engine dies", async () => {
+        engines.push(await fixture.startEngine(scope, "prefill-2", "prefill"));
+        await fixture.setFaults(engine("prefill-1"), { slowdown: 50 });
+        const served = fixture.serve(scope, engines);
+        setTimeout(() => void engine("prefill-1").scope.close(), 100);
+        await expectWhole(served);
+    });
+
+    it("puts late, repeated and broken pieces right", async () => {
+        await fixture.setFaults(engine("decode-1"), { repeatTokens: true, cutAfterTokens: 5 });
+        await expectWhole(fixture.serve(scope, engines));
+        await fixture.setFaults(engine("decode-1"), { repeatTokens: true, cutAfterTokens: 0, garbage: true });
+        await expectWhole(fixture.serve(scope, engines));
+    });
+
+    it("gives up after a few placements when every result expires before it is imported", async () => {
+        engines = [
+            await fixture.startEngine(scope, "prefill-1", "prefill", { survivalMs: 30 }),
+            await fixture.startEngine(scope, "decode-1", "decode", { slots: 0 }),
+        ];
+        const served = fixture.serve(scope, engines);
+        const outcome = await served.outcome;
+        chai.expect(outcome).to.include({ whole: false });
+        chai.expect(served.texts).to.be.empty;
+        chai.expect(served.placed).to.have.length(3);
+        await fixture.expectNothingHeld(engines);
+    });
+
+    it("waits for a slot that is not free yet, for as long as the result lives", async () => {
+        engines = [
+            await fixture.startEngine(scope, "prefill-1", "prefill"),
+            await fixture.startEngine(scope, "decode-1", "decode", { slots: 1 }),
+        ];
+        const first = fixture.serve(scope, engines);
+        const second = fixture.serve(scope, engines);
+        await expectWhole(first);
+        await expectWhole(second);
+        chai.expect([...first.placed, ...second.placed]).to.have.length(2);
+    });
+
+    describe("when the caller goes", () => {
+        const steps = [
+            "scheduling: placed",
+            "prefill-1: prefill done",
+            "decode-1: import done",
+        ];
+        for (const step of steps) {
+            it(`lets go of all memory after "${step}"`, async () => {
+                const served = fixture.serve(scope, engines, {
+                    onNote: (note, one) => note === step ? one.abort() : undefined,
+                });
+                chai.expect(await served.outcome).to.include({ whole: false });
+                await fixture.expectNothingHeld(engines);
+            });
+        }
+        for (const count of [1, 6, fixture.OUTPUT_TOKENS]) {
+            it(`lets go of all memory after token ${count}`, async () => {
+                const served = fixture.serve(scope, engines, {
+                    onToken: (got, one) => got === count ? one.abort() : undefined,
+                });
+                await served.outcome;
+                chai.expect(fixture.ANSWER.startsWith(served.texts.join(""))).to.equal(true);
+                await fixture.expectNothingHeld(engines);
+            });
+        }
+
+        it("lets go of all memory while a prefill is under way", async () => {
+            await fixture.setFaults(engine("prefill-1"), { slowdown: 10 });
+            const served = fixture.serve(scope, engines);
+            setTimeout(() => served.abort(), 60);
+            chai.expect(await served.outcome).to.include({ whole: false });
+            await new Promise((resolve) => setTimeout(resolve, 300));
+            await fixture.expectNothingHeld(engines);
+        });
+
+        it("lets go of all memory although the first cancel is lost", async () => {
+            const served = fixture.serve(scope, engines, {
+                onToken: async (got, one) => {
+                    if (got === 3) {
+                        await fixture.setFaults(engine("decode-1"), { frozen: true });
+                        one.abort();
+                    }
+                },
+            });
+            await served.outcome;
+            setTimeout(() => void fixture.setFaults(engine("decode-1"), { frozen: false }), 300);
+            await new Promise((resolve) => setTimeout(resolve, 400));
+            await fixture.expectNothingHeld(engines);
+        });
+
+        it("has an import refused that arrives after the cancel", async () => {
+            const attempt = { requestId: "late", attempt: 1, holder: "host-1/first" };
+            const source = engine("prefill-1").address;
+            const from = { address: source, timeoutMs: 1_000 };
+            const to = { address: engine("decode-1").address, timeoutMs: 1_000 };
+            const prefilled = await upstream.prefill(from, { ...attempt, prompt: fixture.PROMPT, priority: 0 });
+            const handle = prefilled.result === upstream.CallResult.Done ? prefilled.value.handle : "";
+            await upstream.cancel(to, attempt);
+            const imported = await upstream.importCache(to, { ...attempt, source, handle });
+            chai.expect(imported).to.include({ refusal: upstream.UpstreamRefusal.Cancelled });
+            await upstream.cancel(from, attempt);
+            await fixture.expectNothingHeld(engines);
+        });
+    });
+});
--- /dev/null
+++ b/packages/router/test/modelpathfixture.ts
@@ -0,0 +1,201 @@
+import * as configuration from "@citronlead/configuration";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as standins from "@citronlead/standins";
+import * as chai from "chai";
+import * as http from "node:http";
+import * as pino from "pino";
+import * as callerRequests from "../src/callerrequest.js";
+import type * as contexts from "../src/context.js";
+import * as metrics from "../src/metrics.js";
+import * as modelpath from "../src/modelpath.js";
+import type * as parts from "../src/parts.js";
+import * as quarantines from "../src/quarantineshell.js";
+import type * as schedulings from "../src/schedulingshell.js";
+import type * as upstreams from "../src/upstreams.js";
+
+/** The prompt of every request in these tests. */
+export const PROMPT = "Lot 7: fine grain, hardness even over the block. ".repeat(8);
+/** How many tokens every answer has. */
+export const OUTPUT_TOKENS = 12;
+
+/** The answer that every engine gives to the prompt. */
+export const ANSWER = Array.from({ length: OUTPUT_TOKENS }, (_, index) => standins.tokenAt(PROMPT, index)).join("");
+
+/** An engine of the test, which can die. */
+export interface TestEngine {
+    readonly name: string;
+    readonly address: string;
+    readonly scope: lifecycle.Lifecycle;
+    readonly role: string;
+}
+
+/** Starts an engine's stand-in in this process. */
+export async function startEngine(
+    scope: lifecycle.Lifecycle,
+    name: string,
+    role: string,
+    more: Partial<standins.EngineOptions> = {},
+): Promise<TestEngine> {
+    const engineScope = scope.child(name);
+    const listening = await standins.startEngine(engineScope, {
+        address: "127.0.0.1",
+        port: 0,
+        role,
+        model: "dossierllm",
+        version: "2026-11",
+        slots: 4,
+        memoryPieces: 1_000,
+        pieceTokens: 64,
+        prefillTokenMs: 0.2,
+        decodeTokenMs: 4,
+        survivalMs: 800,
+        checksFencing: true,
+        crash: () => void engineScope.close(),
+        ...more,
+    });
+    return { name, address: listening.address, scope: engineScope, role };
+}
+
+/** Sets faults of an engine. */
+export async function setFaults(engine: TestEngine, faults: Partial<standins.EngineFaults>): Promise<void> {
+    await fetch(`${engine.address}/standin/faults`, { method: "PUT", body: JSON.stringify(faults) });
+}
+
+/** Waits until no engine that lives holds memory. */
+export async function expectNothingHeld(engines: readonly TestEngine[]): Promise<void> {
+    const endsAt = lifecycle.monotonicClock() + 10_000;
+    for (const engine of engines.filter((one) => !one.scope.closed)) {
+        for (;;) {
+            const answer = await (await fetch(`${engine.address}/engine/held`)).json() as { held: unknown[]; };
+            if (answer.held.length === 0) {
+                break;
+            }
+            chai.expect(lifecycle.monotonicClock(), `${engine.name} holds memory`).to.be.below(endsAt);
+            await new Promise((resolve) => setTimeout(resolve, 20));
+        }
+    }
+}
+
+/** A context without platform or peers. */
+export function makeContext(scope: lifecycle.Lifecycle, hostList = "http://127.0.0.1:1"): contexts.Context {
+    const checked = configuration.parseRouterSettings(
+        "test.yaml",
+        `host: host-1
+availabilityZone: braga-a
+callers: { address: 127.0.0.1, port: 0 }
+peers: { address: 127.0.0.1, port: 0 }
+control: { address: 127.0.0.1, port: 0 }
+platform: { keyValue: ["http://127.0.0.1:1"], hostList: "${hostList}", hostListPeriod: 100ms }
+`,
+    );
+    if (!checked.valid) {
+        throw new Error("the settings are not valid");
+    }
+    const agent = new http.Agent({ keepAlive: true });
+    scope.own(() => agent.destroy());
+    return {
+        settings: checked.value,
+        incarnation: "first",
+        scope,
+        clock: lifecycle.monotonicClock,
+        log: pino.pino({ level: "silent" }),
+        metrics: metrics.makeMetrics(),
+        agent,
+        control: { agent, watchServer: () => undefined },
+    } as unknown as contexts.Context;
+}
+
+/** Places requests on the engines in turn, leaving out those to be avoided. */
+function takeTurns(engines: readonly TestEngine[], placed: string[]): schedulings.Scheduling {
+    const known = (engine: TestEngine) => ({ ...engine, pool: "dossierllm" }) as unknown as upstreams.KnownUpstream;
+    return {
+        place: async (wish) => {
+            const usable = engines.filter((engine) => !wish.avoid.includes(engine.name));
+            const prefill = usable.find((engine) => engine.role === "prefill");
+            const decode = usable.find((engine) => engine.role === "decode");
+            if (!prefill || !decode) {
+                return { placed: false, refusal: "shed" as schedulings.PlacementRefusal, retryAfterMs: 1_000 };
+            }
+            placed.push(`${prefill.name}, ${decode.name}`);
+            return {
+                placed: true,
+                placement: { prefill: known(prefill), decode: known(decode), startAfterMs: 0, end: () => undefined },
+            };
+        },
+    };
+}
+
+/** One request on its way, with what its caller got. */
+export interface Served {
+    readonly texts: string[];
+    readonly notes: string[];
+    readonly placed: string[];
+    readonly outcome: Promise<modelpath.ModelOutcome>;
+    readonly abort: () => void;
+}
+
+/** When something happens to a request under way. */
+export interface Moments {
+    /** Runs after each note about the request, such as "prefill-1: prefill done". */
+    readonly onNote?: (note: string, served: Served) => void | Promise<void>;
+    /** Runs with the number of tokens that the caller has got. */
+    readonly onToken?: (count: number, served: Served) => void | Promise<void>;
+}
+
+/** Serves one request on the engines. */
+export function serve(
+    scope: lifecycle.Lifecycle,
+    engines: readonly TestEngine[],
+    moments: Moments = {},
+    scheduling?: schedulings.Scheduling,
+): Served {
+    const abort = new AbortController();
+    const context = makeContext(scope);
+    const texts: string[] = [];
+    const notes: string[] = [];
+    const placed: string[] = [];
+    const around = {
+        context,
+        scheduling: scheduling ?? takeTurns(engines, placed),
+        quarantine: {
+            verdict: () => ({ standing: quarantines.Standing.Clear, remainingMs: 0 }),
+            noteBreak: () => undefined,
+        },
+        upstreams: { noteDeparting: () => undefined },
+    } as unknown as parts.Parts;
+    const request = {
+        requestId: `request-${Math.random()}`,
+        arrivedAt: context.clock(),
+        deadline: context.clock() + 30_000,
+        signal: abort.signal,
+        note: (hop: string, decided: string) => {
+            const note = `${hop}: ${decided}`;
+            notes.push(note);
+            void moments.onNote?.(note, served);
+        },
+    } as unknown as callerRequests.CallerRequest;
+    const wish: modelpath.ModelWish = {
+        pool: "dossierllm",
+        workspace: "guild",
+        priority: 2,
+        prompt: PROMPT,
+        promptTokens: standins.countTokens(PROMPT),
+        outputTokens: OUTPUT_TOKENS,
+        fingerprint: "fingerprint",
+        prefixHashes: [],
+        firstTokenTargetMs: 5_000,
+    };
+    const served: Served = {
+        texts,
+        notes,
+        placed,
+        abort: () => abort.abort(callerRequests.AbortCause.CallerGone),
+        outcome: Promise.resolve().then(() =>
+            modelpath.serveModel(around, request, wish, async (text) => {
+                texts.push(text);
+                await moments.onToken?.(texts.length, served);
+            })
+        ),
+    };
+    return served;
+}
