--- a/packages/configuration/src/fleet.ts
+++ b/packages/configuration/src/fleet.ts
@@ -30,10 +30,10 @@
 const profile = zod.strictObject({
     /** 0 goes first. */
     priority: zod.int().min(0).max(9),
-    firstTokenTarget: units.duration,
-    betweenTokensTarget: units.duration,
+    firstTokenTarget: units.positiveDuration,
+    betweenTokensTarget: units.positiveDuration,
     /** The time by which a request is answered or refused, unless its caller names a shorter one. */
-    deadline: units.duration,
+    deadline: units.positiveDuration,
     /** The version of each model that requests under this profile are served with. */
     modelVersions: zod.record(name, zod.string()).default({}),
     workspaces: zod.record(name, workspaceTerms).default({}),
@@ -43,14 +43,14 @@
     /** Requests that a decode engine holds at once. */
     decodeSlots: zod.int().positive(),
     /** How long the result of a prefill survives unless it is moved on. */
-    prefillSurvival: units.duration,
+    prefillSurvival: units.positiveDuration,
     /** Pieces of engine memory, each holding piece tokens. */
     memoryPieces: zod.int().positive(),
     pieceTokens: zod.int().positive().default(16),
     /** KV cache of one token. */
-    cacheBytesPerToken: units.byteSize,
+    cacheBytesPerToken: units.positiveSize,
     /** What one link carries in a second. */
-    linkBytesPerSecond: units.byteSize,
+    linkBytesPerSecond: units.positiveSize,
     fencing: zod.enum(Fencing),
     /** Decode slots that a planned change keeps in service at each step. */
     minimumSlots: zod.int().nonnegative().default(0),
@@ -73,7 +73,10 @@
     pool: name,
     profile: name,
     /** Calls whose path starts with this go here; the longest prefix wins. */
-    pathPrefix: zod.string().startsWith("/"),
+    pathPrefix: zod.string().regex(
+        /^(\/[A-Za-z0-9._~-]+)+$/,
+        "expected a path such as /orders, without a slash at its end",
+    ),
     methods: zod.array(zod.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"])).min(1),
     /** Whether a call may be run again after it may have run. */
     idempotent: zod.boolean(),
@@ -135,6 +138,11 @@
 
 function checkCombinations(fleet: Fleet, context: zod.RefinementCtx): void {
     const report: Report = (path, message) => context.addIssue({ code: "custom", path, message });
+    fleet.availabilityZones.forEach((zone, index) => {
+        if (fleet.availabilityZones.indexOf(zone) !== index) {
+            report(["availabilityZones", index], "this availability zone is named twice");
+        }
+    });
     checkProfiles(fleet, report);
     checkModels(fleet, report);
     checkServices(fleet, report);
@@ -201,17 +209,32 @@
         if (candidate.pathPrefix === "/v1" || candidate.pathPrefix.startsWith("/v1/")) {
             report(["services", index, "pathPrefix"], "paths under /v1 are for models");
         }
+        if (candidate.open && !candidate.idempotent) {
+            const message = "an open route must be idempotent: operations that run once are kept by workspace";
+            report(["services", index, "open"], message);
+        }
+        const rival = fleet.services.slice(0, index).find((other) =>
+            other.pathPrefix === candidate.pathPrefix
+            && other.methods.some((method) => candidate.methods.includes(method))
+        );
+        if (rival) {
+            report(["services", index, "pathPrefix"], `service ${rival.name} takes a method of this path already`);
+        }
         names.add(candidate.name);
     });
 }
 
 function checkBursts(fleet: Fleet, report: Report): void {
     const smallest = Math.max(0, ...Object.values(fleet.models).map((candidate) => candidate.smallestChargeTokens));
+    const call = Math.max(0, ...fleet.services.map((candidate) => candidate.chargeTokens));
     for (const [profileName, candidate] of Object.entries(fleet.profiles)) {
         for (const [workspace, terms] of Object.entries(candidate.workspaces)) {
+            const path = ["profiles", profileName, "workspaces", workspace, "burstTokens"];
             if (terms.burstTokens < smallest) {
-                const message = `the burst is below the smallest charge of a model, ${smallest} tokens`;
-                report(["profiles", profileName, "workspaces", workspace, "burstTokens"], message);
+                report(path, `the burst is below the smallest charge of a model, ${smallest} tokens`);
+            }
+            else if (terms.burstTokens < call) {
+                report(path, `the burst is below the charge of a service's call, ${call} tokens`);
             }
         }
     }
--- a/packages/configuration/src/source.ts
+++ b/packages/configuration/src/source.ts
@@ -31,7 +31,7 @@
     shape: Shape,
 ): Checked<zod.output<Shape>> {
     const lines = new yaml.LineCounter();
-    const document = yaml.parseDocument(text, { lineCounter: lines, uniqueKeys: true });
+    const document = yaml.parseDocument(text, { lineCounter: lines, uniqueKeys: true, logLevel: "error" });
     if (document.errors.length > 0) {
         const problems = document.errors.map((error) => ({
             file,
@@ -41,7 +41,11 @@
         }));
         return { valid: false, problems };
     }
-    const parsed = shape.safeParse(document.toJS() ?? {});
+    const plain = toPlain(document);
+    if (typeof plain === "string") {
+        return { valid: false, problems: [{ file, line: 1, column: 1, key: "", message: plain }] };
+    }
+    const parsed = shape.safeParse(plain.value ?? {});
     if (parsed.success) {
         return { valid: true, value: parsed.data };
     }
@@ -54,6 +58,16 @@
     return { valid: false, problems };
 }
 
+/** Resolves the document's aliases. Returns what is wrong as text when there are too many of them. */
+function toPlain(document: yaml.Document): { readonly value: unknown; } | string {
+    try {
+        return { value: document.toJS() };
+    }
+    catch (failure) {
+        return failure instanceof Error ? failure.message : "the document cannot be read";
+    }
+}
+
 interface PlacedIssue {
     readonly path: readonly PropertyKey[];
     readonly message: string;
--- a/packages/configuration/src/units.ts
+++ b/packages/configuration/src/units.ts
@@ -29,3 +29,9 @@
 
 /** A size such as 64KiB or 2GB, as bytes. */
 export const byteSize = quantity(BYTES_PER_UNIT, "64KiB or 2GB");
+
+/** A duration above zero. */
+export const positiveDuration = duration.refine((value) => value > 0, "expected a time above 0");
+
+/** A size above zero. */
+export const positiveSize = byteSize.refine((value) => value > 0, "expected a size above 0");
--- a/packages/configuration/test/fleet.test.ts
+++ b/packages/configuration/test/fleet.test.ts
@@ -52,4 +52,31 @@
         chai.expect(found).to.have.length(1);
         chai.expect(found[0]).to.contain("the rate of this workspace stands in profile assessments already");
     });
+
+    it("refuses a burst that no call to a service fits", () => {
+        const found = problems((text) => text.replace("chargeTokens: 50", "chargeTokens: 48001"));
+        chai.expect(found).to.have.length(3);
+        chai.expect(found[0]).to.contain("the burst is below the charge of a service's call, 48001 tokens");
+    });
+
+    it("refuses times of zero, zones named twice, and routes that rival each other", () => {
+        const refused = [
+            problems((text) => text.replace("deadline: 120s", "deadline: 0s")),
+            problems((text) => text.replace("porto-b, gmr-c", "porto-b, porto-b")),
+            problems((text) => text.replace("pathPrefix: /catalogue", "pathPrefix: /stock")),
+            problems((text) => text.replace("pathPrefix: /orders", "pathPrefix: /orders/")),
+        ];
+        chai.expect(refused.map((found) => found[0])).to.deep.equal([
+            "fleet.yaml:14:5: profiles.assessments.deadline: expected a time above 0",
+            "fleet.yaml:4:39: availabilityZones.2: this availability zone is named twice",
+            "fleet.yaml:69:5: services.2.pathPrefix: service stock takes a method of this path already",
+            "fleet.yaml:62:5: services.1.pathPrefix: expected a path such as /orders, without a slash at its end",
+        ]);
+    });
+
+    it("refuses an open route whose calls run once", () => {
+        const found = problems((text) => text.replace("idempotent: false", "idempotent: false\n    open: true"));
+        chai.expect(found).to.have.length(1);
+        chai.expect(found[0]).to.match(/^fleet\.yaml:65:5: services\.1\.open: an open route must be idempotent/);
+    });
 });
