--- a/packages/command/src/modules.ts
+++ b/packages/command/src/modules.ts
@@ -1,4 +1,9 @@
+import * as admission from "@citronlead/admission";
 import * as decision from "@citronlead/decision";
+import * as membership from "@citronlead/membership";
+import * as operations from "@citronlead/operations";
+import * as propagation from "@citronlead/propagation";
+import * as scheduling from "@citronlead/scheduling";
 import * as upstream from "@citronlead/upstream";
 
 /** A decision module whose settings, events and actions are known only as JSON. */
@@ -13,6 +18,11 @@
 
 /** The decision modules that `citronlead decide` drives. */
 export const decisionModules: readonly NamedModule[] = [
+    nameModule(membership.membershipModule),
+    nameModule(propagation.propagationModule),
+    nameModule(admission.admissionModule),
+    nameModule(scheduling.scheduler),
+    nameModule(operations.operationModule),
     nameModule(upstream.assemblyModule),
 ];
 
--- a/packages/command/test/commandline.test.ts
+++ b/packages/command/test/commandline.test.ts
@@ -10,6 +10,7 @@
 import * as path from "node:path";
 import * as stream from "node:stream";
 import * as exit from "../src/exit.js";
+import * as modules from "../src/modules.js";
 import * as program from "../src/program.js";
 
 const PORT_OFFSET = 1_250;
@@ -41,6 +42,16 @@
     return { code, output, errors };
 }
 
+/** The golden sessions of the packages whose module goes by the package's name. */
+function findGoldenSessions(): [string, string][] {
+    const packages = path.resolve(import.meta.dirname, "../../..");
+    return modules.decisionModules.flatMap(({ name }): [string, string][] => {
+        const directory = path.join(packages, name, "test/golden");
+        const files = fs.existsSync(directory) ? fs.readdirSync(directory) : [];
+        return files.map((file) => [name, path.join(directory, file)]);
+    });
+}
+
 describe("the command line", () => {
     const scope = new lifecycle.Lifecycle("test");
     const directory = fs.mkdtempSync(path.join(os.tmpdir(), "citronlead-command-"));
@@ -158,6 +169,16 @@
         testing.expectGolden(GOLDEN, decided.output);
     });
 
+    for (const [module, file] of findGoldenSessions()) {
+        it(`drives ${module} through ${path.basename(file)} as its golden file has it`, async () => {
+            const lines = fs.readFileSync(file, "utf8").trimEnd().split("\n");
+            const inputs = lines.map((line) => ({ ...JSON.parse(line) as object, actions: undefined }));
+            const decided = await run(["decide", module], inputs.map((input) => JSON.stringify(input)).join("\n"));
+            chai.expect(decided.errors).to.deep.equal([]);
+            chai.expect(decided.output).to.deep.equal(lines);
+        });
+    }
+
     it("refuses lines that are no input, and unknown modules", async () => {
         const refused = await run(["decide", "assembly"], '{"now":0,"settings":{}}\n{"now":\n');
         chai.expect(refused.code).to.equal(exit.ExitCode.Invalid);
