--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -27,6 +27,24 @@
 /** Errors that prove that the request never left this machine. */
 const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "ENOTFOUND", "EADDRNOTAVAIL"]);
 
+/** Starts the request. Returns undefined if its address or headers can't be used. */
+function startRequest(call: JsonCall, payload: Buffer | undefined): http.ClientRequest | undefined {
+    try {
+        return http.request(call.url, {
+            method: call.method ?? (payload ? "POST" : "GET"),
+            agent: call.agent,
+            signal: call.signal,
+            headers: {
+                ...call.headers,
+                ...(payload ? { "content-type": "application/json", "content-length": payload.length } : {}),
+            },
+        });
+    }
+    catch {
+        return undefined;
+    }
+}
+
 /**
  * Makes one JSON call. The outcome's effect is None only if the connection was never made, Unknown if the call may have
  * been carried out although no whole answer arrived.
@@ -40,15 +58,11 @@
                     ? decision.noEffect(error.code)
                     : decision.unknownEffect(error.code ?? error.message),
             );
-        const request = http.request(call.url, {
-            method: call.method ?? (payload ? "POST" : "GET"),
-            agent: call.agent,
-            signal: call.signal,
-            headers: {
-                ...call.headers,
-                ...(payload ? { "content-type": "application/json", "content-length": payload.length } : {}),
-            },
-        });
+        const request = startRequest(call, payload);
+        if (!request) {
+            resolve(decision.noEffect("the address cannot be used"));
+            return;
+        }
         const timer = setTimeout(() => request.destroy(new Error("timeout")), call.timeoutMs);
         request.on("close", () => clearTimeout(timer));
         request.on("error", fail);
