--- a/packages/demo/test/serving.test.ts
+++ b/packages/demo/test/serving.test.ts
@@ -15,6 +15,19 @@
 const STREAM_TOKENS = 160;
 const STREAMS = 4;
 const LOAD_PERIOD_MS = 25;
+const MIX = `
+name: short
+firstTokenTarget: 2s
+betweenTokensTarget: 60ms
+workspaces: { guild: 1, nobody: 1 }
+requests:
+  - kind: completion
+    share: 2
+    model: dossierllm
+    promptTokens: { median: 200, spread: 0.5, least: 50, most: 1000 }
+    outputTokens: { median: 10, least: 1, most: 20 }
+  - { kind: call, share: 1, method: GET, path: /stock/lot }
+`;
 
 interface Sent {
     readonly path: string;
@@ -154,11 +167,26 @@
     it("is driven by the load tool, which reports how it was served", async () => {
         const file = path.join(os.tmpdir(), `citronlead-keys-${process.pid}.yaml`);
         fs.writeFileSync(file, `guild: ${key}\n`);
+        const mix = path.join(os.tmpdir(), `citronlead-mix-${process.pid}.yaml`);
+        fs.writeFileSync(mix, MIX);
         const routers = fleet.routers.flatMap((router) => ["--router", router.callers]);
         const engines = fleet.prefillEngines.flatMap((engine) => ["--engine", engine.address]);
-        const load = ["load", "--keys", file, "--rate", "20", "--count", "20", "--json", ...routers, ...engines];
+        const load = [
+            "load",
+            "--keys",
+            file,
+            "--mix",
+            mix,
+            "--rate",
+            "20",
+            "--count",
+            "20",
+            "--json",
+            ...routers,
+            ...engines,
+        ];
         const result = await processes.runCommand([processes.COMMAND, ...load]);
-        fs.rmSync(file);
+        [file, mix].forEach((one) => fs.rmSync(one));
         chai.expect(result.code, result.errors).to.equal(0);
         const report = JSON.parse(result.output) as { sent: number; outcomes: Record<string, number>; };
         chai.expect(report.sent).to.equal(20);
--- a/packages/router/test/drain.test.ts
+++ b/packages/router/test/drain.test.ts
@@ -12,7 +12,7 @@
     const scope = new lifecycle.Lifecycle("test");
     after(() => scope.close());
 
-    it("closes idle connections, and busy ones after their answers", async () => {
+    it("closes idle connections, and busy ones after their answers, and tells their callers", async () => {
         const fixture = await fixtures.startFixture(scope, testing.testPortBase(PORT_OFFSET));
         const idle = net.connect(fixture.callersPort, new URL(fixture.callers).hostname);
         const idleClosed = new Promise((resolve) => idle.once("close", resolve));
@@ -24,15 +24,20 @@
             agent,
             body: JSON.stringify({ model: "reader", prompt: "p", max_tokens: 200, stream: true }),
         });
-        await fixtures.waitFor("the stream to begin", async () => {
+        await fixtures.setFaults(fixture.service, { delayMs: 500 });
+        const waiting = fixtures.call(fixture, "/stock/1", { agent: new http.Agent({ keepAlive: true }) });
+        await fixtures.waitFor("both to begin", async () => {
             const status = await fixtures.control(fixture, "/status") as { openRequests: number; };
-            return status.openRequests === 1;
+            return status.openRequests === 2;
         });
         const stopped = fixture.router.stop();
         const ready = await fixtures.send(`${fixture.control}/readyz`);
         chai.expect(ready.status).to.equal(503);
         chai.expect((await fixtures.send(`${fixture.control}/healthz`)).status).to.equal(200);
         await idleClosed;
+        const answer = await waiting;
+        chai.expect(answer.status).to.equal(200);
+        chai.expect(answer.headers.connection).to.equal("close");
         chai.expect((await streaming).text).to.contain("data: [DONE]");
         await stopped;
         chai.expect(Object.keys(agent.freeSockets)).to.deep.equal([]);
@@ -41,19 +46,6 @@
         );
         chai.expect(refused).to.equal("ECONNREFUSED");
     });
-
-    it("tells callers of a router that drains to close their connections", async () => {
-        const fixture = await fixtures.startFixture(scope, testing.testPortBase(PORT_OFFSET + 50));
-        const agent = new http.Agent({ keepAlive: true });
-        await fixtures.setFaults(fixture.service, { delayMs: 500 });
-        const waiting = fixtures.call(fixture, "/stock/1", { agent });
-        await new Promise((resolve) => setTimeout(resolve, 100));
-        const stopped = fixture.router.stop();
-        const answer = await waiting;
-        chai.expect(answer.status).to.equal(200);
-        chai.expect(answer.headers.connection).to.equal("close");
-        await stopped;
-    });
 });
 
 describe("labels of metrics", () => {
