Failing: refusals leave listeners behind on their connection

Cause looked for: routers under failures and load warn of 11 close listeners on one socket.

Ruled out: plain services' calls and the counting of control bytes; the trace names dropBody in answer.ts, which adds a close listener to the connection for each refusal whose body is still on its way.

Seen: 20 refused requests on one kept connection, MaxListenersExceededWarning.

--- /dev/null
+++ b/packages/router/test/refusals.test.ts
@@ -0,0 +1,46 @@
+import * as lifecycle from "@citronlead/lifecycle";
+import * as testing from "@citronlead/testing";
+import * as chai from "chai";
+import * as http from "node:http";
+import * as fixtures from "./callersfixture.js";
+
+const PORT_OFFSET = 1_400;
+/** More than the listeners that Node takes on one emitter before it warns of a leak. */
+const REFUSALS = 20;
+
+describe("refusals on one connection", () => {
+    const scope = new lifecycle.Lifecycle("test");
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    let fixture: fixtures.Fixture;
+    before(async () => {
+        fixture = await fixtures.startFixture(scope, testing.testPortBase(PORT_OFFSET));
+    });
+    after(() => {
+        agent.destroy();
+        return scope.close();
+    });
+
+    function refuseOnce(): Promise<number> {
+        return new Promise((resolve, reject) => {
+            const request = http.request(`${fixture.callers}/v1/completions`, { method: "POST", agent });
+            request.on("error", reject);
+            request.on("response", (response) => {
+                response.resume().on("end", () => resolve(response.statusCode ?? 0));
+            });
+            request.write("x".repeat(1_000));
+            setImmediate(() => request.end("y"));
+        });
+    }
+
+    it("leave nothing behind on it", async () => {
+        const warnings: string[] = [];
+        const note = (warning: Error) => void warnings.push(warning.name);
+        process.on("warning", note);
+        for (let count = 0; count < REFUSALS; count++) {
+            chai.expect(await refuseOnce()).to.equal(401);
+        }
+        await new Promise((resolve) => setImmediate(resolve));
+        process.off("warning", note);
+        chai.expect(warnings).to.deep.equal([]);
+    });
+});
