Tie the time allowed for a refused body to its request, not its connection

Cause: dropBody added a close listener to the connection for each refusal whose body was still on its way; a kept connection collected them.

Before: MaxListenersExceededWarning after 11 refusals on one connection.

Conclusion: the request's own close event ends the timer.

--- a/packages/router/src/answer.ts
+++ b/packages/router/src/answer.ts
@@ -91,8 +91,7 @@
     incoming.resume();
     if (!incoming.complete) {
         const timer = setTimeout(() => incoming.socket.destroy(), LINGER_MS);
-        incoming.once("end", () => clearTimeout(timer));
-        incoming.socket.once("close", () => clearTimeout(timer));
+        incoming.once("close", () => clearTimeout(timer));
     }
 }
 
