--- a/packages/router/test/modelpathfixture.ts
+++ b/packages/router/test/modelpathfixture.ts
@@ -77,10 +77,14 @@
 }
 
 /** A context without platform or peers. */
-export function makeContext(scope: lifecycle.Lifecycle, hostList = "http://127.0.0.1:1"): contexts.Context {
+export function makeContext(
+    scope: lifecycle.Lifecycle,
+    hostList = "http://127.0.0.1:1",
+    host = "host-1",
+): contexts.Context {
     const checked = configuration.parseRouterSettings(
         "test.yaml",
-        `host: host-1
+        `host: ${host}
 availabilityZone: braga-a
 callers: { address: 127.0.0.1, port: 0 }
 peers: { address: 127.0.0.1, port: 0 }
