Failing: a request that may run at no engine waits until its deadline

Ruled out: the engine's calls (each ends at once) and the quarantine. The placement waits for an engine that the request does not avoid, although the pool has none.

Seen: packages/scheduling/test/scheduler.test.ts, "refuses at once what may run at no engine that there is", fails.

--- a/packages/scheduling/test/scheduler.test.ts
+++ b/packages/scheduling/test/scheduler.test.ts
@@ -53,6 +53,15 @@
         chai.expect(driver.state.stays.size).to.equal(1);
     });
 
+    it("refuses at once what may run at no engine that there is", () => {
+        const driver = pool(4, 1, 2);
+        const patient = { firstTokenDeadline: 1e6, deadline: 1e6, retry: true };
+        const [refused] = driver.happen(ask("avoids", 0, { ...patient, avoid: ["d1"] }), 0);
+        chai.expect(refused?.kind).to.equal(scheduling.ActionKind.Refuse);
+        const [granted] = driver.happen(ask("may", 0, { ...patient, avoid: ["p1"] }), 0);
+        chai.expect(granted?.kind).to.equal(scheduling.ActionKind.Grant);
+    });
+
     it("takes turns by weight between workspaces", () => {
         const driver = pool(1, 1, 1);
         driver.happen(ask("holds", 0), 0);
