Refuse at once what may run at no engine of its pool

Cause: admit put a request into the queue although it avoids every engine of a role that the pool has.

Before: "refuses at once what may run at no engine that there is" fails. After: it passes, and all of the package's tests.

--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -137,7 +137,20 @@
     return ask.deadline - leadMs(state, ask) - ask.outputTokens * state.outputShare * state.tokenMs;
 }
 
+/** Whether a request avoids every engine of a role that the pool has, so that waiting would not help it. */
+function avoidsAll(state: states.State, ask: messages.Ask): boolean {
+    return [state.prefillIndex, state.decodeIndex].some((index) =>
+        index.size > 0
+        && index.size <= ask.avoid.length
+        && Array.from({ length: index.size }, (_, place) => index.at(place)?.[1] ?? "")
+            .every((name) => ask.avoid.includes(name))
+    );
+}
+
 function admit(state: states.State, ask: messages.Ask, now: decision.Milliseconds): Step {
+    if (avoidsAll(state, ask)) {
+        return { state, actions: [refusal(state, ask.id, messages.RefusalKind.Shed, now)] };
+    }
     const { prefillMs, decodeMs } = shares(state, ask);
     const cost = prefillMs + decodeMs;
     const whole = latestForDeadline(state, ask);
