Count engines that are held back among those that a request avoids

Cause: an engine that has just failed leaves the index of decode engines, so the check saw no engine and let the request wait for one; the engine comes back, but this request avoids it.

--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -139,12 +139,14 @@
 
 /** Whether a request avoids every engine of a role that the pool has, so that waiting would not help it. */
 function avoidsAll(state: states.State, ask: messages.Ask): boolean {
-    return [state.prefillIndex, state.decodeIndex].some((index) =>
-        index.size > 0
-        && index.size <= ask.avoid.length
-        && Array.from({ length: index.size }, (_, place) => index.at(place)?.[1] ?? "")
-            .every((name) => ask.avoid.includes(name))
-    );
+    if (ask.avoid.length === 0) {
+        return false;
+    }
+    const known = [...state.engines.entries()].map(([, engine]) => engine);
+    return [messages.Role.Prefill, messages.Role.Decode].some((role) => {
+        const ofRole = known.filter((engine) => engine.role === role);
+        return ofRole.length > 0 && ofRole.every((engine) => ask.avoid.includes(engine.name));
+    });
 }
 
 function admit(state: states.State, ask: messages.Ask, now: decision.Milliseconds): Step {
--- a/packages/scheduling/test/scheduler.test.ts
+++ b/packages/scheduling/test/scheduler.test.ts
@@ -58,6 +58,10 @@
         const patient = { firstTokenDeadline: 1e6, deadline: 1e6, retry: true };
         const [refused] = driver.happen(ask("avoids", 0, { ...patient, avoid: ["d1"] }), 0);
         chai.expect(refused?.kind).to.equal(scheduling.ActionKind.Refuse);
+        driver.happen({ kind: scheduling.EventKind.EngineFailed, engine: "d1" }, 0);
+        const [again] = driver.happen(ask("avoids-too", 0, { ...patient, avoid: ["d1"] }), 0);
+        chai.expect(again?.kind).to.equal(scheduling.ActionKind.Refuse);
+        driver.happen(report("d2", Decode, 4), 0);
         const [granted] = driver.happen(ask("may", 0, { ...patient, avoid: ["p1"] }), 0);
         chai.expect(granted?.kind).to.equal(scheduling.ActionKind.Grant);
     });
