--- a/packages/router/test/membershipcontext.ts
+++ b/packages/router/test/membershipcontext.ts
@@ -15,13 +15,13 @@
 export function makeContext(scope: lifecycle.Lifecycle, index: number, platformPort: number): contexts.Context {
     const service = `http://127.0.0.1:${platformPort}`;
     const port = platformPort + 1 + index;
-    const endpoint = { address: "127.0.0.31", port };
+    const address = "127.0.0.31";
     const settings = configuration.routerSettingsSchema.parse({
         host: `host-${index}`,
         availabilityZone: ZONES[index % ZONES.length],
-        callers: endpoint,
-        peers: endpoint,
-        control: endpoint,
+        callers: { address, port: 0 },
+        peers: { address, port },
+        control: { address, port: 0 },
         platform: { keyValue: [service], hostList: service, weightStore: service },
         log: { level: "silent" },
     });
