Keep dead hosts on the ring of successors until they are taken over

Records now name the next hosts that have a record, with a lease or without. The rest are fleets most of which died and was replaced at other addresses; they wait for the longest outage, now 75 minutes instead of two hours. Two successors stay, since with one a single death in an outage stops the fleet.

--- a/packages/membership/src/durations.ts
+++ b/packages/membership/src/durations.ts
@@ -27,7 +27,7 @@
 export const CLOCK_MARGIN = 0.03;
 
 /** The longest that promises carry a host which cannot renew its lease, in milliseconds. */
-export const LONGEST_OUTAGE_MS = 7_200 * decision.SECOND_MS;
+export const LONGEST_OUTAGE_MS = 4_500 * decision.SECOND_MS;
 
 /** How soon a failed or unanswered call to the key-value service is repeated, in milliseconds. */
 export const CALL_RETRY_MS = 300;
--- a/packages/membership/src/swaps.ts
+++ b/packages/membership/src/swaps.ts
@@ -3,7 +3,6 @@
 import * as ownership from "./ownership.js";
 import * as partitions from "./partitions.js";
 import * as records from "./records.js";
-import * as rosters from "./roster.js";
 import * as rules from "./rules.js";
 import * as states from "./state.js";
 import * as takeovers from "./takeover.js";
@@ -34,7 +33,7 @@
 }
 
 function planMemberSwap(state: states.MemberState, now: decision.Milliseconds): Step {
-    const renamed = findRename(state, now);
+    const renamed = findRename(state);
     if (renamed) {
         return planRename(state, renamed, now);
     }
@@ -110,28 +109,17 @@
     };
 }
 
-/** A host without a lease goes on as successor for a moment: after an outage all renew their leases one after another. */
-const SUCCESSOR_GRACES = 3;
-
-function usableHosts(state: states.MemberState, now: decision.Milliseconds): readonly records.HostRecord[] {
-    return Object.values(state.view.hosts)
-        .filter((seen) => {
-            const since = state.unleasedSince[rosters.stayOf(seen.record)];
-            return since === undefined || now - since < SUCCESSOR_GRACES * state.settings.timing.graceMs;
-        })
-        .map((seen) => seen.record);
-}
-
-/** The record that this host should have in place of the present one, or undefined. */
-function findRename(
-    state: states.MemberState,
-    now: decision.Milliseconds,
-): records.HostRecord | undefined {
+/**
+ * The record that this host should have in place of the present one, or undefined. Dead hosts stay on the ring of
+ * successors until they are taken over: were they passed over, the few that live would name each other in small circles,
+ * and a circle whose hosts all die waits for the longest outage.
+ */
+function findRename(state: states.MemberState): records.HostRecord | undefined {
     const { own, view, settings } = state;
     if (!own) {
         return undefined;
     }
-    const wish = wanted.wantedSuccessors(own.record, usableHosts(state, now), settings.successorLimit);
+    const wish = wanted.wantedSuccessors(own.record, records.presentHosts(view), settings.successorLimit);
     const successors = wish.flatMap(({ host }) => {
         const session = view.hosts[host]?.record.session;
         return session === undefined ? [] : [{ host, session }];
