--- a/packages/membership/src/rights.ts
+++ b/packages/membership/src/rights.ts
@@ -70,7 +70,11 @@
     return owner && !released && now < until && owns(state, owner) ? { fencing: owner.fencing, until } : undefined;
 }
 
+const sortedHosts = derived.derived((view) =>
+    Object.keys(view.hosts).sort().map((host) => (view.hosts[host] as records.SeenHost).record)
+);
+
 /** The hosts of the roster, in the order of their names. */
 export function roster(state: states.MemberState): readonly records.HostRecord[] {
-    return Object.keys(state.view.hosts).sort().map((host) => (state.view.hosts[host] as records.SeenHost).record);
+    return sortedHosts(state.view);
 }
