--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -17,13 +17,39 @@
     decide,
 };
 
+/** How many workspaces are looked at when the first of them can't be placed yet. */
+const HEAD_COUNT = 4;
+
 /** Takes in an event, then places what can be placed and gives up on what can't be served in time any more. */
 export function decide(state: states.State, event: messages.Event, now: decision.Milliseconds): Step {
     const taken = takeEvent(state, event, now);
     const shed = shedWaiting(taken.state, now);
-    const placed = placeWaiting(shed.state, now);
+    const placed = stillBlocked(shed.state, event)
+        ? { state: shed.state, actions: [], retryAt: shed.state.blockedUntil ?? Infinity }
+        : placeWaiting(shed.state, now, newcomer(shed.state, event));
     const actions = [...taken.actions, ...shed.actions, ...placed.actions];
-    return wake(placed.state, actions, now, placed.retryAt);
+    return wake({ ...placed.state, blockedUntil: placed.retryAt }, actions, now, placed.retryAt);
+}
+
+/** Whether an event can't have made room for the first in the queue, nor is about one of them. */
+function stillBlocked(state: states.State, event: messages.Event): boolean {
+    if (state.blockedUntil === undefined || state.order.turns.size === 0) {
+        return false;
+    }
+    if (event.kind === messages.EventKind.Ask) {
+        return !heads(state).includes(event.ask.id);
+    }
+    return event.kind === messages.EventKind.CacheChange;
+}
+
+/** The only request that may be placed, where the others in the queue are blocked. */
+function newcomer(state: states.State, event: messages.Event): string | undefined {
+    const blocked = state.blockedUntil !== undefined && state.order.entries.size > 1;
+    return blocked && event.kind === messages.EventKind.Ask ? event.ask.id : undefined;
+}
+
+function heads(state: states.State): readonly (string | undefined)[] {
+    return Array.from({ length: HEAD_COUNT }, (_, place) => fairOrder.peek(state.order, place)?.id);
 }
 
 function takeEvent(state: states.State, event: messages.Event, now: decision.Milliseconds): Step {
@@ -38,6 +64,8 @@
             return quietly(stays.takeReport(state, event.report, now));
         case messages.EventKind.CacheChange:
             return quietly(takeCacheChange(state, event, now));
+        case messages.EventKind.EngineFailed:
+            return quietly(stays.failEngine(state, event.engine, now));
         case messages.EventKind.EngineGone:
             return quietly(states.dropEngine(state, event.engine));
         case messages.EventKind.HoldersGone:
@@ -85,7 +113,7 @@
 /** The shares of the pool's prefill and decode that a request is thought to take, in milliseconds of all engines. */
 function shares(state: states.State, ask: messages.Ask): { prefillMs: number; decodeMs: number; } {
     const held = prefixes.longestHeld(state.prefixes, ask.prefixHashes)?.length ?? 0;
-    const tokens = Math.max(1, ask.promptTokens - held * state.settings.prefixTokens);
+    const tokens = Math.max(1, ask.promptTokens - placement.prefixLength(state.settings, ask, held));
     return {
         prefillMs: tokens / state.prefillTokensPerSecond * 1_000 / Math.max(1, state.prefillIndex.size),
         decodeMs: ask.outputTokens * state.outputShare * state.tokenMs / Math.max(1, state.decodeSlots),
@@ -109,7 +137,22 @@
     return ask.deadline - leadMs(state, ask) - ask.outputTokens * state.outputShare * state.tokenMs;
 }
 
+/** Whether a request avoids every engine of a role that the pool has, so that waiting would not help it. */
+function avoidsAll(state: states.State, ask: messages.Ask): boolean {
+    if (ask.avoid.length === 0) {
+        return false;
+    }
+    const known = [...state.engines.entries()].map(([, engine]) => engine);
+    return [messages.Role.Prefill, messages.Role.Decode].some((role) => {
+        const ofRole = known.filter((engine) => engine.role === role);
+        return ofRole.length > 0 && ofRole.every((engine) => ask.avoid.includes(engine.name));
+    });
+}
+
 function admit(state: states.State, ask: messages.Ask, now: decision.Milliseconds): Step {
+    if (avoidsAll(state, ask)) {
+        return { state, actions: [refusal(state, ask.id, messages.RefusalKind.Shed, now)] };
+    }
     const { prefillMs, decodeMs } = shares(state, ask);
     const cost = prefillMs + decodeMs;
     const whole = latestForDeadline(state, ask);
@@ -164,22 +207,24 @@
         : delay(without, waiting.ask, waiting.cost, now);
 }
 
-/** How many workspaces are looked at when the first of them can't be placed yet. */
-const HEAD_COUNT = 4;
-
 function placeWaiting(
     state: states.State,
     now: decision.Milliseconds,
+    only: string | undefined,
 ): Step & { readonly retryAt: decision.Milliseconds; } {
     let next = state;
-    let retryAt = Infinity;
+    let retryAt = only === undefined ? Infinity : state.blockedUntil ?? Infinity;
     const actions: messages.Action[] = [];
     for (let place = 0; place < HEAD_COUNT;) {
         const entry = fairOrder.peek(next.order, place);
         const waiting = entry && next.waiting.get(entry.id);
-        if (!waiting || waiting.late && next.freeSlots <= lateHeadroom(next)) {
+        if (!waiting || waiting.late && (place > 0 || next.freeSlots <= lateHeadroom(next))) {
             break;
         }
+        if (only !== undefined && entry.id !== only) {
+            place++;
+            continue;
+        }
         const chosen = placement.choose(next, waiting.ask, now);
         if (!chosen.found) {
             retryAt = Math.min(retryAt, chosen.retryAt);
@@ -195,9 +240,12 @@
     return { state: next, actions, retryAt };
 }
 
+/** The largest share of the slots that is left free. */
+const LARGEST_HEADROOM = 0.1;
+
 /** Slots that requests which are late already leave free for those that are not. */
 function lateHeadroom(state: states.State): number {
-    return Math.sqrt(state.decodeSlots);
+    return Math.min(Math.sqrt(state.decodeSlots), state.decodeSlots * LARGEST_HEADROOM);
 }
 
 function meetsTarget(state: states.State, waiting: states.Waiting, choice: placement.Choice): boolean {
