Find out crashes of upstreams and keep their contents away, fleet-wide

Cause: breaks were not looked into, and a retry ran the content again before any host knew of the crash. Found on the way: between the end of the hold and the next tick a content was a mere suspect and crashed a third upstream (packages/router/test/quarantine.test.ts); it is held back until its crash is judged now. Ruled out: any lost connection counts as a crash (a zone that goes would quarantine what ran there). Conclusion: noteBreak resolves when the break was looked into; callers wait for it before they try again.

--- a/packages/quarantine/src/state.ts
+++ b/packages/quarantine/src/state.ts
@@ -46,6 +46,8 @@
 
 /** Reports of one crash arrive within this time; then it is judged. */
 export const REPORT_TIME_MS = 2_000;
+/** A content that is held back is told to come back no sooner than this. */
+const SHORTEST_HOLD_MS = 250;
 /** A suspect that crashed nothing for this long is clear again. */
 export const SUSPICION_MS = 2 * 60 * 1_000;
 /** How long a content is quarantined the first time; twice as long each time after, up to the limit. */
@@ -64,9 +66,11 @@
     if (suspect.quarantinedUntil > now) {
         return { standing: Standing.Quarantined, remainingMs: suspect.quarantinedUntil - now };
     }
-    const heldUntil = heldBack(state, fingerprint, suspect);
-    if (heldUntil > now) {
-        return { standing: Standing.Quarantined, remainingMs: heldUntil - now };
+    if (suspect.crashes > 1) {
+        const judgedAt = judgementOf(state, fingerprint);
+        if (judgedAt !== undefined) {
+            return { standing: Standing.Quarantined, remainingMs: Math.max(SHORTEST_HOLD_MS, judgedAt - now) };
+        }
     }
     const suspectUntil = suspect.lastCrashAt + SUSPICION_MS;
     return suspect.crashes > 0 && suspectUntil > now
@@ -74,11 +78,11 @@
         : { standing: Standing.Clear, remainingMs: 0 };
 }
 
-/** Until when a content with two crashes is held back because the reports of its latest crash may still come in. */
-function heldBack(state: QuarantineState, fingerprint: string, suspect: Suspect): decision.Milliseconds {
-    if (suspect.crashes < 2) {
-        return -Infinity;
-    }
+/**
+ * When the crashes of a content that are not judged yet can be. A content that was at two crashes is held back until
+ * then, since reports of the latest may still come in.
+ */
+function judgementOf(state: QuarantineState, fingerprint: string): decision.Milliseconds | undefined {
     const open = state.crashes.filter((crash) => !crash.judged && crash.fingerprints.includes(fingerprint));
-    return Math.max(-Infinity, ...open.map((crash) => crash.firstReportAt + REPORT_TIME_MS));
+    return open.length === 0 ? undefined : Math.max(...open.map((crash) => crash.firstReportAt)) + REPORT_TIME_MS;
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -91,7 +91,7 @@
         admission: admissions.startAdmission(context, inForce, membership, links),
         scheduling: schedulings.startScheduling(context, inForce, membership, known, links),
         operations: operations.startOperations(context),
-        quarantine: quarantines.startQuarantine(context, membership, links),
+        quarantine: quarantines.startQuarantine(context, membership, links, known),
         orders: orders.startOrders(context, inForce, membership, known),
     };
 }
--- a/packages/router/src/servicepath.ts
+++ b/packages/router/src/servicepath.ts
@@ -1,5 +1,6 @@
 import type * as configuration from "@citronlead/configuration";
 import * as decision from "@citronlead/decision";
+import * as membership from "@citronlead/membership";
 import * as upstream from "@citronlead/upstream";
 import * as crypto from "node:crypto";
 import * as http from "node:http";
@@ -9,6 +10,7 @@
 import type * as parts from "./parts.js";
 import * as quarantines from "./quarantineshell.js";
 import * as refusals from "./refusal.js";
+import type * as upstreams from "./upstreams.js";
 
 const ANSWER_LIMIT_BYTES = 4 * 1024 * 1024;
 /** How many upstreams are tried for one call while none has run it. */
@@ -64,11 +66,25 @@
         const result = withDoubt(await runOnUpstream(served, request, service, fingerprint, avoid), mayHaveRun);
         mayHaveRun ||= result.kind !== operations.RunKind.NotRun;
         if (tries === TRIES || request.signal.aborted || !mayTryAgain(service, result)) {
-            return result;
+            return explainBreak(result, served.quarantine.verdict(fingerprint));
         }
     }
 }
 
+/** A call whose last try made an upstream crash is told so, and when to come back. */
+function explainBreak(result: operations.RunResult, verdict: quarantines.Verdict): operations.RunResult {
+    const quarantined = result.kind === operations.RunKind.Unknown ? quarantineRefusal(verdict) : undefined;
+    return quarantined
+        ? { kind: operations.RunKind.Unknown, refusal: { ...quarantined, ran: refusals.Ran.Unknown } }
+        : result;
+}
+
+function quarantineRefusal(verdict: quarantines.Verdict): refusals.Refusal | undefined {
+    return verdict.standing === quarantines.Standing.Quarantined
+        ? refusals.notRun(refusals.Reason.Quarantined, "this call made upstreams crash", verdict.remainingMs)
+        : undefined;
+}
+
 function mayTryAgain(service: configuration.Service, result: operations.RunResult): boolean {
     return result.kind !== operations.RunKind.Answered
         && result.refusal.reason === refusals.Reason.UpstreamFailed
@@ -106,13 +122,14 @@
     avoid: string[],
 ): Promise<operations.RunResult> {
     const verdict = served.quarantine.verdict(fingerprint);
-    if (verdict.standing === quarantines.Standing.Quarantined) {
-        const message = "this call made upstreams crash";
-        const refusal = refusals.notRun(refusals.Reason.Quarantined, message, verdict.remainingMs);
-        return { kind: operations.RunKind.NotRun, refusal };
+    const quarantined = quarantineRefusal(verdict);
+    if (quarantined) {
+        return { kind: operations.RunKind.NotRun, refusal: quarantined };
     }
     const usable = served.upstreams.usable(service.pool).filter((candidate) => !avoid.includes(candidate.name));
-    const target = usable[Math.floor(served.context.clock()) % Math.max(1, usable.length)];
+    const target = verdict.standing === quarantines.Standing.Suspect
+        ? placeOfSuspect(usable, fingerprint)
+        : usable[Math.floor(served.context.clock()) % Math.max(1, usable.length)];
     if (!target) {
         const message = "no upstream takes this call now";
         const refusal = refusals.notRun(refusals.Reason.Overloaded, message, decision.SECOND_MS);
@@ -131,12 +148,24 @@
     });
     served.context.metrics.upstreamCalls.inc({ call: "service", result: outcome.result });
     request.note(target.name, `call ${outcome.result}`);
+    if (outcome.result === upstream.CallResult.Done && verdict.standing === quarantines.Standing.Suspect) {
+        served.quarantine.noteWhole(fingerprint);
+    }
     if (outcome.result === upstream.CallResult.Broken && !request.signal.aborted) {
-        served.quarantine.noteBreak(fingerprint, target.name, request.requestId);
+        await served.quarantine.noteBreak(fingerprint, target.name, request.requestId);
     }
     return judge(served, request, target.name, avoid, outcome);
 }
 
+/** Spreads suspects over the upstreams by their fingerprints, the same on every host. */
+function placeOfSuspect(
+    usable: readonly upstreams.KnownUpstream[],
+    fingerprint: string,
+): upstreams.KnownUpstream | undefined {
+    const weight = (candidate: upstreams.KnownUpstream) => membership.hashNumber(`${candidate.name}/${fingerprint}`);
+    return [...usable].sort((left, right) => weight(right) - weight(left))[0];
+}
+
 function judge(
     served: parts.Parts,
     request: callerRequests.CallerRequest,
