--- a/packages/operations/src/decide.ts
+++ b/packages/operations/src/decide.ts
@@ -42,8 +42,8 @@
 const RECORDING_PATIENCE_MS = 10 * 60 * decision.SECOND_MS;
 /** How long a call waits for another attempt before it is told that the outcome is unknown. */
 const WAITING_PATIENCE_MS = 60 * decision.SECOND_MS;
-/** The last read is made this long before the deadline, so that its answer is of use. */
-const LAST_READ_MARGIN_MS = 50;
+/** The last try is made this long before the deadline, so that its answer is of use. */
+const LAST_TRY_MARGIN_MS = 50;
 const RETRY_AFTER_MS = 1_000;
 const OUTAGE_RETRY_AFTER_MS = 5_000;
 
@@ -126,7 +126,8 @@
     if (state.phase !== Phase.Claiming) {
         return decision.unchanged(state);
     }
-    if (state.answered || now >= state.settings.deadline || now - state.since >= CLAIM_PATIENCE_MS) {
+    const patienceEndsAt = Math.min(state.settings.deadline - LAST_TRY_MARGIN_MS, state.since + CLAIM_PATIENCE_MS);
+    if (state.answered || now + state.pauseMs >= patienceEndsAt) {
         const refused = refuse(state, call.RefusalCause.RecordUnavailable, false, OUTAGE_RETRY_AFTER_MS);
         return then(refused, (next) => giveUpClaim(next, now));
     }
@@ -174,7 +175,7 @@
 function waitForOther(state: CallState, now: decision.Milliseconds): Result {
     const since = state.phase === Phase.Waiting ? state.since : now;
     const waiting = { ...state, phase: Phase.Waiting, since };
-    const left = Math.min(state.settings.deadline, since + WAITING_PATIENCE_MS) - now - LAST_READ_MARGIN_MS;
+    const left = Math.min(state.settings.deadline, since + WAITING_PATIENCE_MS) - now - LAST_TRY_MARGIN_MS;
     if (left <= 0) {
         return then(refuse(waiting, call.RefusalCause.OutcomeUnknown, true, RETRY_AFTER_MS), end);
     }
