Load the report of the load tool only where it is used

Cause: every router loaded the histograms of the load tool with the command. Ruled out: the other verbs (they load nothing that the router does not).

--- a/packages/command/src/load.ts
+++ b/packages/command/src/load.ts
@@ -6,7 +6,6 @@
 import * as exit from "./exit.js";
 import * as drives from "./load/drive.js";
 import * as mixes from "./load/mix.js";
-import * as reports from "./load/report.js";
 import * as options from "./option.js";
 import * as terminals from "./terminal.js";
 
@@ -65,6 +64,8 @@
 }
 
 async function load(terminal: terminals.Terminal, wanted: LoadOptions): Promise<void> {
+    // The histograms take megabytes, which the routers that run from the same program shall not spend.
+    const reports = await import("./load/report.js");
     const mix = await readMix(terminal, wanted.mix);
     const keys = mix && await terminals.readChecked(terminal, wanted.keys, mixes.parseKeys);
     if (!mix || !keys) {
