--- a/packages/demo/src/overhead.ts
+++ b/packages/demo/src/overhead.ts
@@ -24,6 +24,8 @@
 const LONG_TOKENS = 408;
 const WARM_UP_REQUESTS = 100;
 const SETTLE_MS = 3_000;
+/** Streams are opened one after another, so that their prefills do not all wait for one engine. */
+const OPENING_PERIOD_MS = 15;
 
 /** The shipped configuration with rates and slots that do not limit the measurement. */
 async function writeConfiguration(scope: lifecycle.Lifecycle): Promise<string> {
@@ -121,12 +123,14 @@
 /** Opens streams at the period of the engines and measures what they cost the router. */
 async function measureStreams(target: callers.Target, streams: number, seconds: number): Promise<string[]> {
     const idle = await readings.read(target.control);
-    const tokens = Math.ceil(1_000 * (seconds + 2 * SETTLE_MS / 1_000) / target.tokenPeriodMs);
+    const openForMs = streams * OPENING_PERIOD_MS + 2 * SETTLE_MS + 1_000 * seconds;
+    const tokens = Math.ceil(openForMs / target.tokenPeriodMs);
     const counted = { tokens: 0 };
-    const running = Array.from(
-        { length: streams },
-        () => callers.complete(target, PROMPT, tokens, () => counted.tokens++),
-    );
+    const running: Promise<unknown>[] = [];
+    for (let number = 0; number < streams; number++) {
+        running.push(callers.complete(target, PROMPT, tokens, () => counted.tokens++));
+        await callers.wait(OPENING_PERIOD_MS);
+    }
     await callers.wait(SETTLE_MS);
     const before = counted.tokens;
     const spent = await readings.measure(target.control, () => callers.wait(seconds * 1_000));
