--- a/packages/command/src/modules.ts
+++ b/packages/command/src/modules.ts
@@ -2,6 +2,7 @@
 import * as decision from "@citronlead/decision";
 import * as membership from "@citronlead/membership";
 import * as operations from "@citronlead/operations";
+import * as orders from "@citronlead/orders";
 import * as propagation from "@citronlead/propagation";
 import * as scheduling from "@citronlead/scheduling";
 import * as upstream from "@citronlead/upstream";
@@ -23,6 +24,8 @@
     nameModule(admission.admissionModule),
     nameModule(scheduling.scheduler),
     nameModule(operations.operationModule),
+    nameModule(orders.rollingModule),
+    nameModule(orders.sweepModule),
     nameModule(upstream.assemblyModule),
 ];
 
--- a/packages/command/test/commandline.test.ts
+++ b/packages/command/test/commandline.test.ts
@@ -10,7 +10,6 @@
 import * as path from "node:path";
 import * as stream from "node:stream";
 import * as exit from "../src/exit.js";
-import * as modules from "../src/modules.js";
 import * as program from "../src/program.js";
 
 const PORT_OFFSET = 1_250;
@@ -42,13 +41,21 @@
     return { code, output, errors };
 }
 
-/** The golden sessions of the packages whose module goes by the package's name. */
+/** The golden sessions of the packages, each with the module that it is a session of. */
 function findGoldenSessions(): [string, string][] {
     const packages = path.resolve(import.meta.dirname, "../../..");
-    return modules.decisionModules.flatMap(({ name }): [string, string][] => {
+    const modulesOf: Readonly<Record<string, string>> = {
+        membership: "membership",
+        propagation: "propagation",
+        operations: "operation",
+        admission: "admission",
+        scheduling: "scheduling",
+        orders: "orders",
+    };
+    return Object.entries(modulesOf).flatMap(([name, module]): [string, string][] => {
         const directory = path.join(packages, name, "test/golden");
         const files = fs.existsSync(directory) ? fs.readdirSync(directory) : [];
-        return files.map((file) => [name, path.join(directory, file)]);
+        return files.map((file) => [module, path.join(directory, file)]);
     });
 }
 
