--- a/packages/membership/test/session.test.ts
+++ b/packages/membership/test/session.test.ts
@@ -76,4 +76,27 @@
             later.read();
         }
     });
+
+    it("goes on refusing when it asks again for a takeover that took effect", () => {
+        const service = new services.FakeService();
+        const session = new sessions.Session(sessions.settingsOf("b"), service);
+        session.pass(0);
+        session.read();
+        const ownStay = session.state.own?.record.session ?? "";
+        sessions.join(service, "c", 0, STEP_MS, [{ host: "b", session: ownStay }]);
+        session.read();
+        session.pass(2 * STEP_MS);
+        session.read();
+        const { version } = session.state.view.hosts["c"] ?? { version: 0 };
+        session.blind = true;
+        session.pass(2 * STEP_MS);
+        session.pass(STEP_MS);
+        chai.expect(service.read(PARTITIONS, session.now).hosts["c"], "taken over").to.equal(undefined);
+        session.happen({
+            kind: EventKind.Message,
+            host: "c",
+            message: { kind: membership.MessageKind.Request, number: 1, incarnation: "c-1", version },
+        });
+        chai.expect(session.sent.at(-1)?.message).to.include({ reason: membership.Refusal.TakeoverAsked });
+    });
 });
--- a/packages/membership/test/session.ts
+++ b/packages/membership/test/session.ts
@@ -23,6 +23,8 @@
 export class Session {
     now = 0;
     away = false;
+    /** Whether the answers to reads are lost. */
+    blind = false;
     state: membership.MemberState;
     readonly sent: Extract<membership.MemberAction, { kind: membership.ActionKind.Send; }>[] = [];
     readonly inputs: decision.SessionInput<membership.MemberSettings, membership.MemberEvent>[];
@@ -72,7 +74,7 @@
         const { now, service, away } = this;
         switch (action.kind) {
             case ActionKind.Read:
-                return away ? [] : [{ kind: EventKind.Viewed, view: service.read(PARTITIONS, now) }];
+                return away || this.blind ? [] : [{ kind: EventKind.Viewed, view: service.read(PARTITIONS, now) }];
             case ActionKind.GrantLease: {
                 const lease = away ? undefined : service.grant(action.timeToLiveMs, now);
                 return [{ kind: EventKind.LeaseAnswered, call: action.call, lease }];
