Refuse for good after a takeover that took effect

Cause: a second takeover, asked for because the read after the first was lost, was refused by the service; that was taken as proof that nothing had changed, although the first had taken effect.

--- a/packages/membership/src/consent.ts
+++ b/packages/membership/src/consent.ts
@@ -40,7 +40,7 @@
     }
     const message: states.MemberMessage = { kind: states.MessageKind.Consent, incarnation, target, version };
     const refuses = rules.inForce(state.settings, rules.Rule.RefuseAfterConsent);
-    const refusing = { ...state.refusing, [target]: { version, unanswered: true } };
+    const refusing = { ...state.refusing, [target]: { version, mayHaveChanged: true } };
     return {
         state: refuses ? { ...state, refusing } : state,
         actions: [{ kind: states.ActionKind.Send, host, message }],
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -206,8 +206,8 @@
 /** A version of another host's record under which no promise is given any more. */
 export interface Refusing {
     readonly version: number;
-    /** Whether a takeover under this version was not answered. */
-    readonly unanswered: boolean;
+    /** Whether a takeover under this version took effect, or was not answered, or was agreed to. */
+    readonly mayHaveChanged: boolean;
 }
 
 /** The other successors that agree to the takeover of a host under one version of its record. */
--- a/packages/membership/src/takeover.ts
+++ b/packages/membership/src/takeover.ts
@@ -125,8 +125,8 @@
         return state;
     }
     const former = state.refusing[takeover.target];
-    const unanswered = former?.version === takeover.version && former.unanswered;
-    const refusing = { ...state.refusing, [takeover.target]: { version: takeover.version, unanswered } };
+    const mayHaveChanged = former?.version === takeover.version && former.mayHaveChanged;
+    const refusing = { ...state.refusing, [takeover.target]: { version: takeover.version, mayHaveChanged } };
     return { ...state, refusing };
 }
 
@@ -137,12 +137,14 @@
     succeeded: boolean | undefined,
 ): states.MemberState {
     const refusing = state.refusing[target];
-    if (!refusing || succeeded === true) {
+    if (!refusing) {
         return state;
     }
+    // Only a refusal by the service proves that nothing changed, and only if no earlier write may have taken effect.
     const keeps = rules.inForce(state.settings, rules.Rule.RefuseUntilReadBack);
-    if (keeps && (succeeded === undefined || refusing.unanswered)) {
-        return { ...state, refusing: { ...state.refusing, [target]: { ...refusing, unanswered: true } } };
+    const mayHaveChanged = succeeded === true || (keeps && (succeeded === undefined || refusing.mayHaveChanged));
+    if (mayHaveChanged) {
+        return { ...state, refusing: { ...state.refusing, [target]: { ...refusing, mayHaveChanged } } };
     }
     const others = Object.entries(state.refusing).filter(([host]) => host !== target);
     return { ...state, refusing: Object.fromEntries(others) };
