Ask the other slices again while the first charge of a queue waits

Cause: a charge that could wait long asked once, then lived on its own third of the rate (a charge of one second's rate took 3.3 s); and it was refused when an owner that was about to start its term had not answered.

--- a/packages/admission/src/borrowing.ts
+++ b/packages/admission/src/borrowing.ts
@@ -18,7 +18,7 @@
 const LOAN_LIMIT_MS = 1_750;
 
 /** When a charge that can wait longer than loans last asks the other slices again, in milliseconds. */
-const ASK_AGAIN_AFTER_MS = 1_000;
+const ASK_AGAIN_AFTER_MS = 200;
 
 /** When a charge may ask the same slice again, in milliseconds. */
 const SAME_SLICE_AFTER_MS = 300;
@@ -26,6 +26,9 @@
 /** How long before its deadline a charge that still waits asks the other slices once more, in milliseconds. */
 const LAST_ASK_MS = 350;
 
+/** How often the first charge in the queue asks the other slices again, in milliseconds. */
+const ASK_PERIOD_MS = 400;
+
 /** What a loan outlasts the deadline that it is needed for, in milliseconds. */
 const LOAN_GRACE_MS = 100;
 
@@ -33,7 +36,7 @@
 const DRY_PERIOD_MS = 100;
 
 /** How long a slice whose owner did not answer is not asked again, in milliseconds. */
-const SILENT_PERIOD_MS = 1_000;
+const SILENT_PERIOD_MS = 150;
 
 /** Tokens that were lent are put into the level, as far as it has room, this long before they become void. */
 const RECLAIM_MARGIN_MS = 50;
@@ -69,19 +72,24 @@
     }
 }
 
-/** Whether the charge can wait beyond the longest loan and the whole rate would refill enough in that time. */
+/**
+ * Whether the whole rate would refill enough before the deadline, and asking again may bring more: loans did not reach as
+ * far as the deadline, or an owner did not answer, which may be about to start its term.
+ */
 function mayAskAgain(work: works.Work, entry: slices.Waiting): boolean {
     const leftMs = entry.deadline - work.now;
-    return leftMs > LOAN_LIMIT_MS && serving.retryAfter(work, entry) < leftMs;
+    const silent = entry.asks.some((open) => open.gathered.length === 0);
+    const useful = leftMs > LOAN_LIMIT_MS || (silent && leftMs > 2 * ASK_AGAIN_AFTER_MS);
+    return useful && serving.retryAfter(work, entry) < leftMs;
 }
 
-/** When a charge with the given deadline asks the other slices once more; undefined if that is now or over. */
-export function lastAskAt(
+/** When a charge that waits asks the other slices once more; undefined if its deadline is too near for that. */
+export function nextAskAt(
     deadline: decision.Milliseconds,
     now: decision.Milliseconds,
 ): decision.Milliseconds | undefined {
-    const at = deadline - LAST_ASK_MS;
-    return at > now ? at : undefined;
+    const last = deadline - LAST_ASK_MS;
+    return last > now ? Math.min(last, now + ASK_PERIOD_MS) : undefined;
 }
 
 /** Closes what was asked so far and asks again later, when the other slices have refilled. */
@@ -328,12 +336,16 @@
             .forEach((open) => noteDry(work, open.slice, SILENT_PERIOD_MS));
         const ended = entry.asks.filter((open) => nearlyVoid(open, work.now));
         const asks = entry.asks.filter((open) => !ended.includes(open)).map((open) => withoutOverdue(open, work.now));
-        const lastAskAt = entry.lastAskAt !== undefined && work.now < entry.lastAskAt ? entry.lastAskAt : undefined;
-        const changed = { ...entry, asks, askAgainAt: undefined, lastAskAt };
+        const asksAgain = entry.askMoreAt !== undefined && entry.askMoreAt <= work.now;
+        const askMoreAt = asksAgain ? nextAskAt(entry.deadline, work.now) : entry.askMoreAt;
+        const changed = { ...entry, asks, askAgainAt: undefined, askMoreAt };
         works.changeWaiting(work, entry.id, changed);
         const reclaimed = slices.gatheredTokens({ ...entry, asks: ended }, work.now);
         closeAsks(work, { ...entry, asks: ended }, reclaimed);
-        askFurther(work, changed);
+        // Of those that only wait, the first asks; the others get what comes after it, but for a last try.
+        if (!asksAgain || askMoreAt === undefined || work.slice.queue[0]?.id === entry.id) {
+            askFurther(work, changed);
+        }
     }
 }
 
@@ -355,7 +367,7 @@
 
 /** When something that was asked of other slices is overdue or nearly void, or may be asked again. */
 export function nextTimeout(waiting: slices.Waiting): decision.Milliseconds {
-    let earliest = Math.min(waiting.askAgainAt ?? Infinity, waiting.lastAskAt ?? Infinity);
+    let earliest = Math.min(waiting.askAgainAt ?? Infinity, waiting.askMoreAt ?? Infinity);
     for (const open of waiting.asks) {
         earliest = Math.min(earliest, askTimeout(open));
     }
--- a/packages/admission/src/serving.ts
+++ b/packages/admission/src/serving.ts
@@ -66,7 +66,7 @@
         id: request.chargeId,
         tokens: request.tokens,
         deadline,
-        lastAskAt: borrowing.lastAskAt(deadline, work.now),
+        askMoreAt: borrowing.nextAskAt(deadline, work.now),
         replyTo,
         asks: [],
         validMs: 0,
--- a/packages/admission/src/slice.ts
+++ b/packages/admission/src/slice.ts
@@ -45,7 +45,7 @@
     /** When the other slices are asked again, if they could not give enough. */
     readonly askAgainAt?: decision.Milliseconds;
     /** When a charge that still waits asks the other slices once more. */
-    readonly lastAskAt?: decision.Milliseconds;
+    readonly askMoreAt?: decision.Milliseconds;
     /** For a loan, how long the receiver may use it, counted from when it asked. */
     readonly validMs: decision.Milliseconds;
     /** For a loan, when it was asked for, on this owner's clock. */
