Keep promises that fall due at the deadline itself

Cause: a promise is worked out to reach its deadline, and a wake-up a rounding error later found it overdue; the promised tokens never came (found in the hand-over test, where 16.6 promised tokens were missing). The levels get 40 ms of head start before the next owner's term.

--- a/packages/admission/src/serving.ts
+++ b/packages/admission/src/serving.ts
@@ -18,6 +18,9 @@
 /** Keeps a wake-up from coming a rounding error too early, in milliseconds. */
 const READY_MARGIN_MS = 0.01;
 
+/** What is promised to the very deadline comes a rounding error or a timer's delay later, in milliseconds. */
+const GRACE_MS = 5;
+
 /** How long the owner remembers a granted charge that is not settled. */
 const GRANTED_MEMORY_MS = 180_000;
 
@@ -190,7 +193,7 @@
 export function serveQueue(work: works.Work): void {
     borrowing.dropVoid(work);
     for (let head = work.slice.queue[0]; head; head = work.slice.queue[0]) {
-        if (head.deadline <= work.now) {
+        if (head.deadline + GRACE_MS <= work.now) {
             giveUp(work, head);
         }
         else if (slices.missingNow(head, work.now) > work.slice.bucket.level) {
@@ -222,7 +225,7 @@
     }
     const ready = readyAt(work, slices.missingNow(head, work.now));
     const timeouts = work.slice.queue.map(borrowing.nextTimeout);
-    return Math.min(ready, head.deadline, ...timeouts);
+    return Math.min(ready, head.deadline + GRACE_MS, ...timeouts);
 }
 
 /** When the level will reach an amount. What exceeds the capacity has to wait for room that is held. */
--- a/packages/router/src/admissionshell.ts
+++ b/packages/router/src/admissionshell.ts
@@ -1,6 +1,7 @@
 import * as admission from "@citronlead/admission";
 import type * as configuration from "@citronlead/configuration";
 import * as decision from "@citronlead/decision";
+import * as lifecycle from "@citronlead/lifecycle";
 import * as membershipDecisions from "@citronlead/membership";
 import * as codec from "./admissionmessages.js";
 import * as admissionMetrics from "./admissionmetrics.js";
@@ -42,6 +43,9 @@
     readonly charge: (wish: ChargeWish) => Promise<Charge>;
 }
 
+/** The levels of a partition should arrive before the next owner's term starts, in milliseconds. */
+const HAND_OVER_HEAD_START_MS = 40;
+
 type Answered = (answer: admission.Answer) => void;
 
 /** Starts admission. */
@@ -179,11 +183,12 @@
     }
 
     /** Sends the levels of a partition to its next owner. Resolves once nothing lent from it can be spent any more. */
-    handOver(partition: string, next: memberships.RosterHost): Promise<void> {
-        return new Promise((resolve) => {
+    async handOver(partition: string, next: memberships.RosterHost): Promise<void> {
+        await new Promise<void>((resolve) => {
             this.handedOver.set(partition, resolve);
             this.feed({ kind: admission.EventKind.HandOver, partition, nextHost: next.host });
         });
+        await lifecycle.pause(this.context.scope, HAND_OVER_HEAD_START_MS);
     }
 
     charge(wish: ChargeWish): Promise<Charge> {
