--- a/packages/admission/src/module.ts
+++ b/packages/admission/src/module.ts
@@ -22,7 +22,7 @@
 
 /** The state before the first event. */
 export function start(settings: Settings): State {
-    return { host: settings.host, owner: owners.startOwner(), requests: sharded.emptyMap() };
+    return { host: settings.host, owner: owners.startOwner(), requests: requesters.noRequests() };
 }
 
 /** Decides about one event. */
@@ -52,7 +52,7 @@
                 : asOwner(owners.take(state.owner, events.partitionOf(message) ?? "", event, now));
         }
         case events.EventKind.Wake:
-            return state.owner.partitions.has(event.subject)
+            return sharded.find(state.owner.partitions, event.subject) !== undefined
                 ? asOwner(owners.wake(state.owner, event.subject, event.right, now))
                 : asRequester(requesters.wake(state.requests, event.subject, now));
         case events.EventKind.Wish:
--- a/packages/command/test/commandline.test.ts
+++ b/packages/command/test/commandline.test.ts
@@ -41,6 +41,24 @@
     return { code, output, errors };
 }
 
+/** The golden sessions of the packages, each with the module that it is a session of. */
+function findGoldenSessions(): [string, string][] {
+    const packages = path.resolve(import.meta.dirname, "../../..");
+    const modulesOf: Readonly<Record<string, string>> = {
+        membership: "membership",
+        propagation: "propagation",
+        operations: "operation",
+        admission: "admission",
+        scheduling: "scheduling",
+        orders: "orders",
+    };
+    return Object.entries(modulesOf).flatMap(([name, module]): [string, string][] => {
+        const directory = path.join(packages, name, "test/golden");
+        const files = fs.existsSync(directory) ? fs.readdirSync(directory) : [];
+        return files.map((file) => [module, path.join(directory, file)]);
+    });
+}
+
 describe("the command line", () => {
     const scope = new lifecycle.Lifecycle("test");
     const directory = fs.mkdtempSync(path.join(os.tmpdir(), "citronlead-command-"));
@@ -158,6 +176,16 @@
         testing.expectGolden(GOLDEN, decided.output);
     });
 
+    for (const [module, file] of findGoldenSessions()) {
+        it(`drives ${module} through ${path.basename(file)} as its golden file has it`, async () => {
+            const lines = fs.readFileSync(file, "utf8").trimEnd().split("\n");
+            const inputs = lines.map((line) => ({ ...JSON.parse(line) as object, actions: undefined }));
+            const decided = await run(["decide", module], inputs.map((input) => JSON.stringify(input)).join("\n"));
+            chai.expect(decided.errors).to.deep.equal([]);
+            chai.expect(decided.output).to.deep.equal(lines);
+        });
+    }
+
     it("refuses lines that are no input, and unknown modules", async () => {
         const refused = await run(["decide", "assembly"], '{"now":0,"settings":{}}\n{"now":\n');
         chai.expect(refused.code).to.equal(exit.ExitCode.Invalid);
--- a/packages/membership/src/swaps.ts
+++ b/packages/membership/src/swaps.ts
@@ -3,7 +3,6 @@
 import * as ownership from "./ownership.js";
 import * as partitions from "./partitions.js";
 import * as records from "./records.js";
-import * as rosters from "./roster.js";
 import * as rules from "./rules.js";
 import * as states from "./state.js";
 import * as takeovers from "./takeover.js";
@@ -34,7 +33,7 @@
 }
 
 function planMemberSwap(state: states.MemberState, now: decision.Milliseconds): Step {
-    const renamed = findRename(state, now);
+    const renamed = findRename(state);
     if (renamed) {
         return planRename(state, renamed, now);
     }
@@ -69,9 +68,9 @@
     };
 }
 
-function ownRecord(settings: states.MemberSettings): records.HostRecord {
+function ownRecord(settings: states.MemberSettings, session: string): records.HostRecord {
     const { host, incarnation, availabilityZone, peerAddress } = settings;
-    return { host, incarnation, availabilityZone, peerAddress };
+    return { host, incarnation, session, availabilityZone, peerAddress, successors: [] };
 }
 
 /**
@@ -86,12 +85,13 @@
     if (!lease || !replaceable) {
         return decision.unchanged(state);
     }
+    const session = `${settings.incarnation}.${state.count + 1}`;
     const key = records.recordKey(settings.host);
     const leaseKey = records.leaseKey(settings.host);
     return swap(state, now, states.Purpose.Join, {
         comparisons: [{ key, modRevision: former?.version ?? 0 }, { key: leaseKey, modRevision: 0 }],
         writes: [
-            { key, value: JSON.stringify(ownRecord(settings)), lease: undefined },
+            { key, value: JSON.stringify(ownRecord(settings, session)) },
             { key: leaseKey, value: lease.id, lease: lease.id },
         ],
     });
@@ -109,33 +109,28 @@
     };
 }
 
-/** A host without a lease goes on as successor for a moment: after an outage all renew their leases one after another. */
-const SUCCESSOR_GRACES = 3;
-
-function usableHosts(state: states.MemberState, now: decision.Milliseconds): readonly records.HostRecord[] {
-    return Object.values(state.view.hosts)
-        .filter((seen) => {
-            const since = state.unleasedSince[rosters.stayOf(seen.record.host, seen.created)];
-            return since === undefined || now - since < SUCCESSOR_GRACES * state.settings.timing.graceMs;
-        })
-        .map((seen) => seen.record);
-}
-
-/** The record that this host should have in place of the present one, or undefined. */
-function findRename(
-    state: states.MemberState,
-    now: decision.Milliseconds,
-): records.HostRecord | undefined {
+/**
+ * The record that this host should have in place of the present one, or undefined. Dead hosts stay on the ring of
+ * successors until they are taken over: were they passed over, the few that live would name each other in small circles,
+ * and a circle whose hosts all die waits for the longest outage.
+ */
+function findRename(state: states.MemberState): records.HostRecord | undefined {
     const { own, view, settings } = state;
-    const next = own && wanted.wantedSuccessor(own.record, usableHosts(state, now));
-    const session = next && view.hosts[next.host]?.created;
-    const successor = next && session !== undefined ? { host: next.host, session } : undefined;
-    return successor && (state.rewriteWanted || !records.sameSuccessor(own?.record.successor, successor))
-        ? { ...ownRecord(settings), successor }
+    if (!own) {
+        return undefined;
+    }
+    const wish = wanted.wantedSuccessors(own.record, records.presentHosts(view), settings.successorLimit);
+    const successors = wish.flatMap(({ host }) => {
+        const session = view.hosts[host]?.record.session;
+        return session === undefined ? [] : [{ host, session }];
+    });
+    const differs = state.rewriteWanted || !records.sameSuccessors(own.record.successors, successors);
+    return differs && (successors.length > 0 || settings.successorLimit === 0)
+        ? { ...ownRecord(settings, own.record.session), successors }
         : undefined;
 }
 
-/** Names another successor. The former one's promise counts no more from now on, whatever the answer (rule 3). */
+/** Names other successors. The former ones' promises count no more from now on, whatever the answer (rule 3). */
 function planRename(state: states.MemberState, record: records.HostRecord, now: decision.Milliseconds): Step {
     const version = state.own?.version ?? 0;
     const drops = rules.inForce(state.settings, rules.Rule.DropBeforeRename);
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -140,7 +140,22 @@
 /** The share of the time to the first token that is kept for what goes slower than thought. */
 const TARGET_MARGIN = 0.1;
 
+/** Whether a request avoids every engine of a role that the pool has, so that waiting would not help it. */
+function avoidsAll(state: states.State, ask: messages.Ask): boolean {
+    if (ask.avoid.length === 0) {
+        return false;
+    }
+    const known = [...state.engines.entries()].map(([, engine]) => engine);
+    return [messages.Role.Prefill, messages.Role.Decode].some((role) => {
+        const ofRole = known.filter((engine) => engine.role === role);
+        return ofRole.length > 0 && ofRole.every((engine) => ask.avoid.includes(engine.name));
+    });
+}
+
 function admit(state: states.State, ask: messages.Ask, now: decision.Milliseconds): Step {
+    if (avoidsAll(state, ask)) {
+        return { state, actions: [refusal(state, ask.id, messages.RefusalKind.Shed, now)] };
+    }
     const { prefillMs, decodeMs } = shares(state, ask);
     const cost = prefillMs + decodeMs;
     const whole = latestForDeadline(state, ask);
