Give two fixtures settings that can work, and withdraw a key from a stream that fits its deadline

Cause: the check of settings refuses one port for three listeners and a peer port of 0; the contexts of the membership and model path tests had both, though they open one port or none. The check stays; the fixtures name ports that can work. The test of a withdrawn key asked for 8,000 tokens, which scheduling now rightly refuses within a deadline of 20 s; it asks for 300 from a slow engine instead.

--- a/packages/router/test/callers.test.ts
+++ b/packages/router/test/callers.test.ts
@@ -129,9 +129,11 @@
             return (await fixtures.send(`${fixture.callers}/v1/models`, { headers })).status === 200;
         });
         const headers = { authorization: `Bearer ${brief}` };
-        const running = fixtures.chat(fixture, { stream: true, max_tokens: 8_000 }, headers);
+        await fixtures.setFaults(fixture.decode, { slowdown: 20 });
+        const running = fixtures.chat(fixture, { stream: true, max_tokens: 300 }, headers);
         await fixtures.putConfiguration(fixture.keyValue, 11, [fixture.key]);
         chai.expect((await running).text).to.contain("the key was withdrawn");
+        await fixtures.setFaults(fixture.decode, { slowdown: 1 });
         await fixtures.expectNothingHeld(fixture);
     });
 });
--- a/packages/router/test/membershipcontext.ts
+++ b/packages/router/test/membershipcontext.ts
@@ -19,9 +19,9 @@
     const settings = configuration.routerSettingsSchema.parse({
         host: `host-${index}`,
         availabilityZone: ZONES[index % ZONES.length],
-        callers: endpoint,
+        callers: { ...endpoint, port: 0 },
         peers: endpoint,
-        control: endpoint,
+        control: { ...endpoint, port: 0 },
         platform: { keyValue: [service], hostList: service, weightStore: service },
         log: { level: "silent" },
     });
--- a/packages/router/test/modelpathfixture.ts
+++ b/packages/router/test/modelpathfixture.ts
@@ -87,7 +87,7 @@
         `host: ${host}
 availabilityZone: braga-a
 callers: { address: 127.0.0.1, port: 0 }
-peers: { address: 127.0.0.1, port: 0 }
+peers: { address: 127.0.0.1, port: 1 }
 control: { address: 127.0.0.1, port: 0 }
 platform: { keyValue: ["http://127.0.0.1:1"], hostList: "${hostList}", hostListPeriod: 100ms }
 `,
