--- a/packages/command/src/modules.ts
+++ b/packages/command/src/modules.ts
@@ -4,6 +4,7 @@
 import * as operations from "@citronlead/operations";
 import * as orders from "@citronlead/orders";
 import * as propagation from "@citronlead/propagation";
+import * as quarantine from "@citronlead/quarantine";
 import * as scheduling from "@citronlead/scheduling";
 import * as upstream from "@citronlead/upstream";
 
@@ -24,6 +25,7 @@
     nameModule(admission.admissionModule),
     nameModule(scheduling.scheduler),
     nameModule(operations.operationModule),
+    nameModule(quarantine.quarantineModule),
     nameModule(orders.rollingModule),
     nameModule(orders.sweepModule),
     nameModule(upstream.assemblyModule),
--- a/packages/command/test/commandline.test.ts
+++ b/packages/command/test/commandline.test.ts
@@ -51,6 +51,7 @@
         admission: "admission",
         scheduling: "scheduling",
         orders: "orders",
+        quarantine: "quarantine",
     };
     return Object.entries(modulesOf).flatMap(([name, module]): [string, string][] => {
         const directory = path.join(packages, name, "test/golden");
