--- a/packages/router/test/badinput.test.ts
+++ b/packages/router/test/badinput.test.ts
@@ -62,6 +62,23 @@
         await expectOutcome(fixture, "key-misplaced", () => chat({ note: fixture.key }));
     });
 
+    it("refuses paths that lead out of their route, so that an open route opens no other", async () => {
+        const paths = [
+            "/open/../stock/7",
+            "/open/%2e%2E/stock/7",
+            "/open/x\\..\\..\\stock",
+            "/open/..%2fstock",
+            "/open/.",
+        ];
+        for (const target of paths) {
+            const request = `GET ${target} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n`;
+            await expectOutcome(fixture, "bad-request", () => fixtures.sendRaw(fixture, [request]));
+        }
+        const runs = (await fixtures.send(`${fixture.service}/standin/runs`)).text;
+        chai.expect(runs).not.to.contain("/stock/7");
+        chai.expect((await fixtures.send(`${fixture.callers}/open/a..b/.hidden`)).status).to.equal(200);
+    });
+
     it("refuses floods of headers", async () => {
         const flood = Array.from({ length: 400 }, (_, index) => `x-flood-${index}: ${"y".repeat(40)}`).join("\r\n");
         await expectOutcome(fixture, "headers-too-large", () => fixtures.sendRaw(fixture, [head(fixture, flood)]));
