Refuse paths with dot segments, and pass paths on as they came

Cause: the route was found by the raw path, while the call's address was parsed as a URL, which resolves dot segments and turns backslashes into slashes. So a path under an open route reached any path of the same upstreams without a key. Ruled out: resolving before the route is found (upstreams differ in what they take for a separator). Before: GET /open/../stock/7 without a key was answered with 200.

--- a/packages/router/src/dispatch.ts
+++ b/packages/router/src/dispatch.ts
@@ -42,9 +42,16 @@
     "/v1/models": { method: "GET", route: { kind: RouteKind.Models } },
 };
 
+/** What parts a path for some server: slashes and backslashes, as they are or percent-encoded. */
+const SEPARATOR = /[/\\]|%2f|%5c/i;
+const DOT_SEGMENT = /^(\.|%2e){1,2}$/i;
+
 /** Finds the route of a path, or the refusal of a path that leads nowhere. */
 export function findRoute(fleet: configuration.Fleet, method: string, pathAndQuery: string): Route | refusals.Refusal {
     const path = pathAndQuery.split("?")[0] ?? "/";
+    if (path.split(SEPARATOR).some((segment) => DOT_SEGMENT.test(segment))) {
+        return refusals.notRun(refusals.Reason.BadRequest, "the path has dot segments");
+    }
     const modelRoute = Object.hasOwn(MODEL_ROUTES, path) ? MODEL_ROUTES[path] : undefined;
     if (modelRoute) {
         return modelRoute.method === method ? modelRoute.route : wrongMethod();
--- a/packages/upstream/src/service.ts
+++ b/packages/upstream/src/service.ts
@@ -1,5 +1,6 @@
 import * as decision from "@citronlead/decision";
 import * as http from "node:http";
+import * as url from "node:url";
 import * as contract from "./contract.js";
 import * as engine from "./engine.js";
 
@@ -39,7 +40,10 @@
                 result: connected ? engine.CallResult.Broken : engine.CallResult.Unreachable,
                 reason: (error as NodeJS.ErrnoException).code ?? error.message,
             });
-        const request = http.request(call.address + call.path, {
+        const request = http.request({
+            ...url.urlToHttpOptions(new URL(call.address)),
+            // As it came: a parsed address would resolve what the route was not found by.
+            path: call.path,
             method: call.method,
             agent: call.agent,
             signal: call.signal,
