Wait for balanced owners before the tests of three routers

Cause: one run on the loaded machine failed because a slice was still on its way to its zone when the first test looked; the test assumed that what is held is balanced. It now waits for the wanted owners and checks the same as before.

--- a/packages/router/test/membership.test.ts
+++ b/packages/router/test/membership.test.ts
@@ -46,6 +46,12 @@
     });
 }
 
+function isBalanced(members: readonly Member[]): boolean {
+    const roster = members[0]?.membership.roster() as readonly membership.HostRecord[];
+    const wanted = membership.wantedOwners(PARTITIONS, roster);
+    return PARTITIONS.every((partition) => holders(members, partition)[0]?.host === wanted[partition]?.host);
+}
+
 function setFaults(platformPort: number, faults: object): Promise<unknown> {
     const url = `http://127.0.0.1:${platformPort}/standin/faults`;
     return fetch(url, { method: "PUT", body: JSON.stringify(faults) });
@@ -65,7 +71,7 @@
         await standins.startPlatform(scope, options);
         members = await Promise.all([0, 1, 2].map((index) => startMember(scope, index, port)));
         await until("all settled", () => members.every((member) => member.membership.settled()));
-        await until("all partitions held", () => allHeldOnce(members));
+        await until("all partitions held by their wanted owners", () => allHeldOnce(members) && isBalanced(members));
     });
     afterEach(() => scope.close());
 
