--- a/packages/admission/test/availability.ts
+++ b/packages/admission/test/availability.ts
@@ -42,6 +42,10 @@
         "| --- | --- | --- | --- | --- | --- | --- |",
         ...rows,
         "",
+        "Target: none refused that its deadline allows to wait, and never more than rate and burst. The second is checked at",
+        "every grant; the run stops if it is broken. For the first, compare the slices with one bucket that never fails.",
+        "Messages a request count from the start of the run over the requests that are counted, so short scenarios show more.",
+        "",
     ].join("\n");
 }
 
