Tell callers from the start of a planned stop that their connections close

Cause: connection: close was told only from the end of the notice period on; callers on kept connections met a closed one later than needed.

Ruled out: closing idle connections at once, which would race with requests on their way.

Before: answers during the notice period keep their connection.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -43,6 +43,7 @@
     let stopped: Promise<void> | undefined;
     const stop = async () => {
         stopping = true;
+        open.leave();
         context.log.info("stopping");
         await lifecycle.pause(context.scope, settings.stop.noticePeriod);
         await open.drain(settings.stop.drainPeriod);
