Do not refuse a request for the bound that its caller stated

Cause: an answer bound of 4,000 tokens was taken for 72 s of work, more than the deadline, and refused on an idle pool (test 'ends a request whose key is withdrawn while it runs' failed, whole run of 228 tests, the other 227 passed). An answer now counts for half the time to the deadline at most.

--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -132,9 +132,14 @@
     return prefillMs * Math.max(1, state.prefillIndex.size) + moveMs + state.tokenMs;
 }
 
+/** An answer is thought to take no more than this share of the time to its deadline, whatever bound its caller stated. */
+const ANSWER_SHARE = 0.5;
+
 /** When a request must start at the latest to be whole by its deadline. */
 function latestForDeadline(state: states.State, ask: messages.Ask): decision.Milliseconds {
-    return ask.deadline - leadMs(state, ask) - ask.outputTokens * state.outputShare * state.tokenMs;
+    const longestMs = ANSWER_SHARE * Math.max(0, ask.deadline - ask.firstTokenDeadline);
+    const answerMs = Math.min(longestMs, ask.outputTokens * state.outputShare * state.tokenMs);
+    return ask.deadline - leadMs(state, ask) - answerMs;
 }
 
 /** The share of the time to the first token that is kept for what goes slower than thought. */
