--- a/packages/router/src/modelpath.ts
+++ b/packages/router/src/modelpath.ts
@@ -2,9 +2,9 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as upstream from "@citronlead/upstream";
 import * as callerRequests from "./callerrequest.js";
-import type * as contexts from "./context.js";
 import * as enginememory from "./enginememory.js";
 import * as agents from "./modelpathagent.js";
+import * as overdue from "./modelpathoverdue.js";
 import type * as parts from "./parts.js";
 import * as quarantines from "./quarantineshell.js";
 import * as refusals from "./refusal.js";
@@ -47,9 +47,6 @@
 const RESUME_LIMIT = 3;
 /** A slot that is not free yet is asked for again after this pause. */
 const SLOT_PAUSE_MS = 20;
-/** A prefill that takes this much longer than thought is told of before it is done. */
-const OVERDUE_FACTOR = 2;
-const OVERDUE_MARGIN_MS = 50;
 const PACE_PIECES = 8;
 
 /** The state of one request on its way through prefill and decode. */
@@ -247,7 +244,7 @@
 ): Promise<upstream.PrefillResult | undefined> {
     const { context } = journey.parts;
     const startedAt = context.clock();
-    const cancelOverdue = watchOverdue(context, placement);
+    const cancelOverdue = overdue.watchOverdue(context, placement);
     const outcome = await upstream.prefill(targetOf(journey, placement.prefill.address), {
         ...journey.memory.attemptAt(placement.prefill.address),
         prompt: journey.wish.prompt,
@@ -264,19 +261,6 @@
     return outcome.value;
 }
 
-/** Tells the owner of a prefill that takes much longer than thought. Returns a function that ends the watch. */
-function watchOverdue(context: contexts.Context, placement: schedulings.Placement): () => void {
-    if (placement.prefillMs === undefined) {
-        return () => undefined;
-    }
-    const overdueMs = placement.prefillMs * OVERDUE_FACTOR + OVERDUE_MARGIN_MS;
-    return lifecycle.after(
-        context.scope,
-        overdueMs,
-        () => placement.progress?.({ prefillMs: overdueMs, prefillDone: false }),
-    );
-}
-
 function targetOf(journey: Journey, address: string): upstream.EngineTarget {
     return {
         address,
