Failing: the model path runs a content elsewhere before a crash is looked into, and never clears a suspect

Cause looked for: the quarantine's own runs hold (2 to 3 engines for one copy), but the path of model requests neither waits for its look nor tells it of whole runs, so the first harmful request can crash a third engine.

Ruled out: a fault of the quarantine's decisions; the two calls are missing in modelpath.ts.

--- a/packages/router/test/modelpathfixture.ts
+++ b/packages/router/test/modelpathfixture.ts
@@ -144,8 +144,17 @@
     readonly onNote?: (note: string, served: Served) => void | Promise<void>;
     /** Runs with the number of tokens that the caller has got. */
     readonly onToken?: (count: number, served: Served) => void | Promise<void>;
+    /** Takes the place of a quarantine that knows nothing against any content. */
+    readonly quarantine?: quarantines.Quarantine;
 }
 
+/** A quarantine that knows nothing against any content. */
+const clearQuarantine: quarantines.Quarantine = {
+    verdict: () => ({ standing: quarantines.Standing.Clear, remainingMs: 0 }),
+    noteBreak: async () => undefined,
+    noteWhole: () => undefined,
+};
+
 /** Serves one request on the engines. */
 export function serve(
     scope: lifecycle.Lifecycle,
@@ -161,10 +170,7 @@
     const around = {
         context,
         scheduling: scheduling ?? takeTurns(engines, placed),
-        quarantine: {
-            verdict: () => ({ standing: quarantines.Standing.Clear, remainingMs: 0 }),
-            noteBreak: () => undefined,
-        },
+        quarantine: moments.quarantine ?? clearQuarantine,
         upstreams: { noteDeparting: () => undefined },
     } as unknown as parts.Parts;
     const request = {
--- /dev/null
+++ b/packages/router/test/modelpathquarantine.test.ts
@@ -0,0 +1,53 @@
+import * as lifecycle from "@citronlead/lifecycle";
+import * as chai from "chai";
+import * as quarantines from "../src/quarantineshell.js";
+import * as fixture from "./modelpathfixture.js";
+
+const LOOK_MS = 100;
+
+describe("model path and quarantine", () => {
+    let scope: lifecycle.Lifecycle;
+    let engines: fixture.TestEngine[];
+
+    beforeEach(async () => {
+        scope = new lifecycle.Lifecycle("test");
+        engines = [
+            await fixture.startEngine(scope, "prefill-1", "prefill"),
+            await fixture.startEngine(scope, "decode-1", "decode"),
+            await fixture.startEngine(scope, "decode-2", "decode"),
+        ];
+    });
+    afterEach(() => scope.close());
+
+    it("runs a content nowhere else before it is known whether its upstream crashed", async () => {
+        let standing = quarantines.Standing.Clear;
+        const quarantine: quarantines.Quarantine = {
+            verdict: () => ({ standing, remainingMs: 60_000 }),
+            noteBreak: async () => {
+                await new Promise((resolve) => setTimeout(resolve, LOOK_MS));
+                standing = quarantines.Standing.Quarantined;
+            },
+            noteWhole: () => undefined,
+        };
+        const served = fixture.serve(scope, engines, {
+            quarantine,
+            onToken: (count) => count === 3 ? engines[1]?.scope.close() : undefined,
+        });
+        const outcome = await served.outcome;
+        chai.expect(outcome).to.include({ whole: false });
+        chai.expect(outcome.whole ? undefined : outcome.refusal.reason).to.equal("quarantined");
+        chai.expect(served.placed).to.deep.equal(["prefill-1, decode-1"]);
+    });
+
+    it("clears a suspect that ran whole", async () => {
+        const cleared: string[] = [];
+        const quarantine: quarantines.Quarantine = {
+            verdict: () => ({ standing: quarantines.Standing.Suspect, remainingMs: 60_000 }),
+            noteBreak: async () => undefined,
+            noteWhole: (fingerprint) => void cleared.push(fingerprint),
+        };
+        const served = fixture.serve(scope, engines, { quarantine });
+        chai.expect(await served.outcome).to.include({ whole: true });
+        chai.expect(cleared).to.deep.equal(["fingerprint"]);
+    });
+});
