Look into a break before a content runs elsewhere, and clear suspects that ran whole

Cause: modelpath.ts neither waited for the quarantine's look nor told it of whole runs.

Conclusion: the first harmful request stops at the engine that it crashed until the look is done.

--- a/packages/router/src/modelpath.ts
+++ b/packages/router/src/modelpath.ts
@@ -57,6 +57,8 @@
     readonly memory: enginememory.EngineMemory;
     readonly take: TakeText;
     readonly avoid: string[];
+    /** Looks into breaks that may have been crashes; the request runs nowhere else before they are done. */
+    readonly looks: Promise<void>[];
     assembly: upstream.Assembly;
     finish: upstream.FinishReason | undefined;
     promptTokens: number;
@@ -84,6 +86,7 @@
         memory: enginememory.trackEngineMemory(served.context, served.context.scope, request.requestId),
         take,
         avoid: [],
+        looks: [],
         assembly: upstream.emptyAssembly,
         finish: undefined,
         promptTokens: wish.promptTokens,
@@ -117,6 +120,9 @@
         placement.end({ outputTokens: journey.assembly.next, failed, whole: leg === Leg.Whole });
         journey.memory.letGo();
         journey.avoid.push(...failed);
+        if (leg === Leg.Whole && verdict.standing === quarantines.Standing.Suspect) {
+            journey.parts.quarantine.noteWhole(journey.wish.fingerprint);
+        }
         if (leg === Leg.Whole && journey.finish !== undefined) {
             return {
                 whole: true,
@@ -128,6 +134,7 @@
         if (leg === Leg.Aborted) {
             return refused(journey, abortRefusal(journey.request));
         }
+        await Promise.all(journey.looks.splice(0));
     }
     const message = "every engine that was tried failed";
     return refused(journey, refusals.mayHaveRun(refusals.Reason.UpstreamFailed, message, decision.SECOND_MS));
@@ -278,7 +285,7 @@
     outcome: upstream.CallOutcome<unknown>,
     failed: string[],
 ): void {
-    const { context, quarantine, upstreams } = journey.parts;
+    const { context, upstreams } = journey.parts;
     context.metrics.upstreamCalls.inc({ call, result: outcome.result });
     journey.request.note(engineName, `${call} ${outcome.result}`);
     if (outcome.result === upstream.CallResult.Refused && outcome.refusal === upstream.UpstreamRefusal.Departing) {
@@ -289,7 +296,7 @@
         failed.push(engineName);
     }
     if (outcome.result === upstream.CallResult.Broken && !journey.request.signal.aborted) {
-        quarantine.noteBreak(journey.wish.fingerprint, engineName, journey.request.requestId);
+        noteBreak(journey, engineName);
     }
 }
 
@@ -334,12 +341,16 @@
         return Leg.Whole;
     }
     if (broke) {
-        const { fingerprint } = journey.wish;
-        journey.parts.quarantine.noteBreak(fingerprint, placement.decode.name, journey.request.requestId);
+        noteBreak(journey, placement.decode.name);
     }
     return Leg.Again;
 }
 
+function noteBreak(journey: Journey, engineName: string): void {
+    const { parts: served, wish, request } = journey;
+    journey.looks.push(served.quarantine.noteBreak(wish.fingerprint, engineName, request.requestId));
+}
+
 /** Tells the owner the time between tokens once a few have come. */
 function watchPace(journey: Journey, placement: schedulings.Placement): () => void {
     const { clock } = journey.parts.context;
