--- a/packages/failures/src/checks.ts
+++ b/packages/failures/src/checks.ts
@@ -180,3 +180,13 @@
             .map((one) => ({ rule: "in force within seconds", detail: `${one.host}: ${one.revision} of ${revision}` }))
     );
 }
+
+/** The most engines that one content may crash: two name it, and two more may run it while the word spreads. */
+const CRASHES_LIMIT = 4;
+
+/** A content that crashes engines is kept from them after a few crashes, however often it is sent. */
+export function checkPoisonings(poisonings: readonly subjects.Poisoning[]): Violation[] {
+    return poisonings
+        .filter((poisoning) => poisoning.crashes > CRASHES_LIMIT)
+        .map(({ mark, crashes }) => ({ rule: "a content cannot take the pool down", detail: `${mark}: ${crashes}` }));
+}
--- a/packages/failures/src/faults.ts
+++ b/packages/failures/src/faults.ts
@@ -17,6 +17,7 @@
     LoseWriteAnswers = "lose-write-answers",
     ServiceLosesAnswers = "service-loses-answers",
     RaceOperators = "race-operators",
+    Poison = "poison",
 }
 
 type Inject = (subject: subjects.Subjects, random: decision.Random) => Promise<string>;
@@ -86,15 +87,74 @@
     return `${router.router.host} exited with ${code}`;
 };
 
+function takeEngines(subject: subjects.Subjects): readonly subjects.EngineSubject[] {
+    return subject.engines.filter((engine) => !engine.taken);
+}
+
 const killEngine: Inject = async (subject, random) => {
-    const engine = random.pick(subject.engines);
+    const free = takeEngines(subject);
+    if (free.length === 0) {
+        return "no engine to spare";
+    }
+    const engine = random.pick(free);
+    engine.taken = true;
     engine.process.child.kill("SIGKILL");
     await engine.process.ended;
     await lifecycle.pause(subject.scope, DOWN_MS);
     engine.process = await engine.engine.restart();
+    engine.taken = false;
     return engine.engine.name;
 };
 
+/** How often a caller sends a content again that crashes engines. */
+const POISON_SENDS = 6;
+const POISON_PAUSE_MS = 400;
+/** The exit code of a stand-in that crashed on a marked content. */
+const CRASH_CODE = 70;
+
+/** Sends a content that crashes each engine that runs it, again and again, through random routers. */
+const poison: Inject = async (subject, random) => {
+    const engines = takeEngines(subject);
+    const poisoning: subjects.Poisoning = { mark: `mark-${random.integer(0, 1_000_000)}`, crashes: 0 };
+    subject.poisonings.push(poisoning);
+    engines.forEach((engine) => engine.taken = true);
+    await Promise.all(engines.map((engine) => setFaults(engine.engine.address, { crashMark: poisoning.mark })));
+    for (let count = 0; count < POISON_SENDS; count++) {
+        await sendPoison(subject, random, poisoning.mark);
+        await lifecycle.pause(subject.scope, POISON_PAUSE_MS);
+        await Promise.all(engines.map((engine) => restartCrashed(engine, poisoning)));
+    }
+    await Promise.all(engines.map((engine) => setFaults(engine.engine.address, { crashMark: "" })));
+    engines.forEach((engine) => engine.taken = false);
+    return `${poisoning.mark} crashed ${poisoning.crashes}`;
+};
+
+async function sendPoison(subject: subjects.Subjects, random: decision.Random, mark: string): Promise<void> {
+    const router = random.pick(subject.routers.filter((candidate) => candidate.up));
+    try {
+        const answer = await fetch(`${router.router.callers}/v1/completions`, {
+            method: "POST",
+            headers: { "authorization": `Bearer ${subject.key}`, "content-type": "application/json" },
+            body: JSON.stringify({ model: "dossierllm", prompt: `Read ${mark}.`, max_tokens: 4 }),
+            signal: AbortSignal.timeout(POISON_TIMEOUT_MS),
+        });
+        await answer.arrayBuffer();
+    }
+    catch {
+        // The router may be down or frozen; the next try goes through another.
+    }
+}
+
+const POISON_TIMEOUT_MS = 10_000;
+
+async function restartCrashed(engine: subjects.EngineSubject, poisoning: subjects.Poisoning): Promise<void> {
+    if (engine.process.child.exitCode === CRASH_CODE) {
+        poisoning.crashes++;
+        engine.process = await engine.engine.restart();
+        await setFaults(engine.engine.address, { crashMark: poisoning.mark });
+    }
+}
+
 /** Lets a stand-in misbehave for a time. */
 function misbehave(
     pick: (subject: subjects.Subjects, random: decision.Random) => string,
@@ -104,7 +164,7 @@
 ): Inject {
     return async (subject, random) => {
         const address = pick(subject, random);
-        await setFaults(address, faults);
+        await setFaults(address, faults).catch(() => undefined);
         await lifecycle.pause(subject.scope, durationMs);
         await setFaults(address, mended).catch(() => undefined);
         return address;
@@ -149,4 +209,5 @@
     [FaultKind.LoseWriteAnswers]: misbehave(pickPlatform, { dropWriteAnswers: 5 }, { dropWriteAnswers: 0 }, SLOW_MS),
     [FaultKind.ServiceLosesAnswers]: misbehave(pickService, { dropAnswers: 3 }, { dropAnswers: 0 }, SLOW_MS),
     [FaultKind.RaceOperators]: raceOperators,
+    [FaultKind.Poison]: poison,
 };
--- a/packages/failures/src/run.ts
+++ b/packages/failures/src/run.ts
@@ -61,9 +61,9 @@
         services: 2,
         routerSettings: "stop: { noticePeriod: 500ms, drainPeriod: 60s }\n",
     });
-    const subject = subjects.takeSubjects(scope, fleet);
     await fleet.operate("apply", path.join(demo.EXAMPLES, "pedra-macia.yaml"));
     const granted = await grantKeys(fleet);
+    const subject = subjects.takeSubjects(scope, fleet, granted[0]?.key ?? "");
     await demo.waitUntilServing(fleet, 1 + WORKSPACES.length);
     const load = scope.child("load");
     const seen: checks.SeenRevision[] = [];
@@ -109,6 +109,7 @@
         ...checks.checkRate(tries, SMALLEST, SMALLEST_TERMS, CHARGES),
         ...checks.checkRevisions(seen),
         ...checks.checkPropagation(seen, subject, IN_FORCE_MS),
+        ...checks.checkPoisonings(subject.poisonings),
     ];
 }
 
--- a/packages/failures/src/subjects.ts
+++ b/packages/failures/src/subjects.ts
@@ -22,6 +22,14 @@
 export interface EngineSubject {
     readonly engine: demo.FleetUpstream;
     process: demo.RunningProcess;
+    /** Whether a failure is being brought about or mended at it. */
+    taken: boolean;
+}
+
+/** A content that crashes each engine that runs it, and how many it crashed. */
+export interface Poisoning {
+    readonly mark: string;
+    crashes: number;
 }
 
 /** A fleet under failures. */
@@ -32,19 +40,24 @@
     readonly engines: readonly EngineSubject[];
     /** Revisions that were accepted, each with its time. */
     readonly accepted: { readonly revision: number; readonly at: number; }[];
+    readonly poisonings: Poisoning[];
+    /** A key whose workspace stays. */
+    readonly key: string;
     /** Times in which the key-value service was out of reach. */
     readonly outages: Disturbance[];
 }
 
 /** Takes a fleet that runs. */
-export function takeSubjects(scope: lifecycle.Lifecycle, fleet: demo.RunningFleet): Subjects {
+export function takeSubjects(scope: lifecycle.Lifecycle, fleet: demo.RunningFleet, key: string): Subjects {
     return {
         scope,
         fleet,
         routers: fleet.routers.map((router) => ({ router, process: router.process, up: true, disturbances: [] })),
         engines: [...fleet.prefillEngines, ...fleet.decodeEngines]
-            .map((engine) => ({ engine, process: engine.process })),
+            .map((engine) => ({ engine, process: engine.process, taken: false })),
         accepted: [],
+        poisonings: [],
+        key,
         outages: [],
     };
 }
