--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -26,12 +26,27 @@
     readonly receive: (kind: NonNullable<protocol.PeerMessage["body"]["case"]>, receiver: Receiver) => void;
 }
 
+type Outgoing = protobuf.MessageInitShape<typeof protocol.PeerMessageSchema>;
+
 interface Outbox {
     readonly address: string;
-    readonly waiting: protobuf.MessageInitShape<typeof protocol.PeerMessageSchema>[];
+    readonly waiting: Outgoing[];
     underWay: boolean;
 }
 
+/** A batch that is being taken in: what is sent to its sender meanwhile goes back with the answer to the call. */
+interface TakenBatch {
+    readonly sender: string;
+    readonly answers: Outgoing[];
+}
+
+/** Messages of one router, from a batch or from the answer to one. */
+interface Batch {
+    readonly sender: string;
+    readonly senderIncarnation: string;
+    readonly messages: readonly protocol.PeerMessage[];
+}
+
 const DELIVERY_TIMEOUT_MS = 1_000;
 /** Messages that wait beyond this number are dropped, oldest first: the peer is out of reach. */
 const WAITING_LIMIT = 10_000;
@@ -40,27 +55,47 @@
 export async function openPeers(context: contexts.Context): Promise<Peers> {
     const receivers = new Map<string, Receiver[]>();
     const outboxes = new Map<string, Outbox>();
-    await listen(context, (request) => deliver(receivers, request));
+    let taken: TakenBatch | undefined;
+    await listen(context, (request) => {
+        const batch: TakenBatch = { sender: request.sender, answers: [] };
+        taken = batch;
+        try {
+            deliver(receivers, request);
+        }
+        finally {
+            taken = undefined;
+        }
+        return batch.answers;
+    });
     const clients = makeClients(context.control.agent);
     const flush = async (host: string, outbox: Outbox) => {
         outbox.underWay = true;
         while (outbox.waiting.length > 0 && !context.scope.closed) {
             const messages = outbox.waiting.splice(0);
+            let answered: Batch | undefined;
             try {
-                await clients(outbox.address).deliver({
+                const answer = await clients(outbox.address).deliver({
                     sender: context.settings.host,
                     senderIncarnation: context.incarnation,
                     messages,
                 });
+                answered = { sender: host, senderIncarnation: answer.receiverIncarnation, messages: answer.messages };
             }
             catch (failure) {
                 context.log.debug({ peer: host, reason: String(failure), lost: messages.length }, "messages lost");
             }
+            if (answered) {
+                deliver(receivers, answered);
+            }
         }
         outbox.underWay = false;
     };
     return {
         send: (host, address, body) => {
+            if (taken?.sender === host) {
+                taken.answers.push({ body });
+                return;
+            }
             let outbox = outboxes.get(host);
             if (!outbox || outbox.address !== address) {
                 outbox = { address, waiting: [], underWay: false };
@@ -100,22 +135,22 @@
     };
 }
 
-function deliver(receivers: ReadonlyMap<string, Receiver[]>, request: protocol.DeliverRequest): void {
-    for (const message of request.messages) {
-        const arrival = { sender: request.sender, senderIncarnation: request.senderIncarnation, message };
+function deliver(receivers: ReadonlyMap<string, Receiver[]>, batch: Batch): void {
+    for (const message of batch.messages) {
+        const arrival = { sender: batch.sender, senderIncarnation: batch.senderIncarnation, message };
         receivers.get(message.body.case ?? "")?.forEach((receiver) => receiver(arrival));
     }
 }
 
-async function listen(context: contexts.Context, take: (request: protocol.DeliverRequest) => void): Promise<void> {
+async function listen(
+    context: contexts.Context,
+    take: (request: protocol.DeliverRequest) => Outgoing[],
+): Promise<void> {
     const handler = connectNode.connectNodeAdapter({
         acceptCompression: [],
         routes: (router) =>
             router.service(protocol.PeerService, {
-                deliver: (request) => {
-                    take(request);
-                    return { receiverIncarnation: context.incarnation };
-                },
+                deliver: (request) => ({ receiverIncarnation: context.incarnation, messages: take(request) }),
             }),
     });
     const server = http.createServer(handler);
