Give no new work to an engine while an order to it is prepared

Cause: orders name the engines that they hold back, but nothing asked; a version change waited up to 120 s for an engine that went on getting requests.

Before: heldBack had no caller. After: Upstreams.usable leaves out what is held back; orders itself asks only whether an upstream leaves. New test of orders to engines passes, and the nine beside it.

Conclusion: a rolling change drains the engine that it takes.

--- a/packages/router/src/ordersshell.ts
+++ b/packages/router/src/ordersshell.ts
@@ -125,7 +125,7 @@
             return [];
         }
         const fresh = loadReadAt !== undefined && this.context.clock() - loadReadAt < REPORT_LIMIT_MS;
-        const usable = fresh && this.known.usable(engine.pool).some((candidate) => candidate.name === engine.name);
+        const usable = fresh && !this.known.leaves(engine);
         const { model, version, slots, running } = load;
         return [{ name: engine.name, decodes: calls.decodes(load), model, version, slots, running, usable }];
     }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -84,6 +84,8 @@
     const membership = memberships.startMembership(context, links);
     const inForce = configurations.followConfiguration(context, membership, links);
     const known = upstreams.followUpstreams(context);
+    const ordering = orders.startOrders(context, inForce, membership, known);
+    known.holdBack(ordering.heldBack);
     return {
         context,
         membership,
@@ -93,6 +95,6 @@
         scheduling: schedulings.startScheduling(context, inForce, membership, known, links),
         operations: operations.startOperations(context),
         quarantine: quarantines.startQuarantine(context, membership, links, known),
-        orders: orders.startOrders(context, inForce, membership, known),
+        orders: ordering,
     };
 }
--- a/packages/router/src/upstreams.ts
+++ b/packages/router/src/upstreams.ts
@@ -14,7 +14,9 @@
 
 /** The upstreams by what the list, their reports and their own refusals say. */
 export interface Upstreams {
-    /** Those of a pool that take new work. */
+    /** Whether an upstream leaves, by the list, its own report or its refusals. */
+    readonly leaves: (host: platform.ListedHost) => boolean;
+    /** Those of a pool that take new work: they neither leave nor are held back. */
     readonly usable: (pool: string) => readonly KnownUpstream[];
     /** All of a pool, departing ones included. */
     readonly all: (pool: string) => readonly KnownUpstream[];
@@ -23,6 +25,8 @@
     readonly noteDeparting: (name: string) => void;
     /** Takes in a load report, from the upstream or from the host that owns it. */
     readonly noteLoad: (name: string, report: upstream.LoadReport) => void;
+    /** Asks at each use for the names of upstreams that get no new work while an order to them is prepared. */
+    readonly holdBack: (names: () => ReadonlySet<string>) => void;
     /** Calls back after each change of the list. */
     readonly onChange: (listener: () => void) => void;
 }
@@ -33,6 +37,7 @@
     const departing = new Set<string>();
     const loads = new Map<string, { report: upstream.LoadReport; at: decision.Milliseconds; }>();
     const listeners: (() => void)[] = [];
+    let heldBack: () => ReadonlySet<string> = () => new Set();
     const { platform: where } = context.settings;
     const readHosts = platform.followHosts(where.hostList, where.timeout, context.control.agent);
     const refresh = async () => {
@@ -62,7 +67,11 @@
         || loads.get(host.name)?.report.departing === true;
     const all = (pool: string) => listed.filter((host) => host.pool === pool);
     return {
-        usable: (pool) => all(pool).filter((host) => !leaves(host)).map(describe),
+        leaves,
+        usable: (pool) => {
+            const held = heldBack();
+            return all(pool).filter((host) => !leaves(host) && !held.has(host.name)).map(describe);
+        },
         all: (pool) => all(pool).map(describe),
         find: (name) => listed.filter((host) => host.name === name).map(describe)[0],
         noteDeparting: (name) => departing.add(name),
@@ -76,6 +85,9 @@
                 loads.set(name, { report, at: context.clock() });
             }
         },
+        holdBack: (names) => {
+            heldBack = names;
+        },
         onChange: (listener) => listeners.push(listener),
     };
 }
--- a/packages/router/test/orders.test.ts
+++ b/packages/router/test/orders.test.ts
@@ -88,6 +88,20 @@
         }
     });
 
+    it("leave each engine without new work while its order is prepared and carried out", async () => {
+        const heldBack = new Set<string>();
+        const ordering = start(20, () => 7);
+        known.holdBack(ordering.heldBack);
+        lifecycle.every(scope, 5, () => {
+            ordering.heldBack().forEach((name) => heldBack.add(name));
+            const usable = known.usable(POOL).map((one) => one.name);
+            chai.expect(usable.filter((name) => ordering.heldBack().has(name))).to.deep.equal([]);
+        });
+        await until("all changed", async () => (await versions()).every((version) => version === "2026-11"));
+        chai.expect(heldBack.size).to.equal(2);
+        await until("both back in service", async () => known.usable(POOL).length === 2);
+    });
+
     it("are not given without slots to spare, nor by a host that does not own the pool", async () => {
         start(40, () => 7);
         start(0, () => undefined);
