Make agents and listening ports in one place each

Cause: the guard against aborts that end the process was put around the agent by two of its users; two ports were opened by the same lines; two failures of routers were written out twice; one wait read the wall clock.

Before: modelpathagent.ts wraps an agent that others made. After: agent.ts makes every agent guarded, listening.ts opens ports.

Conclusion: nobody can forget the guard.

--- a/packages/command/src/inforce.ts
+++ b/packages/command/src/inforce.ts
@@ -1,4 +1,5 @@
 import type * as decision from "@citronlead/decision";
+import * as lifecycle from "@citronlead/lifecycle";
 import type * as commander from "commander";
 import * as zod from "zod";
 import * as controlPorts from "./controlport.js";
@@ -37,9 +38,9 @@
     revision: number,
     limitMs: decision.Milliseconds = WAIT_LIMIT_MS,
 ): Promise<void> {
-    const endsAt = Date.now() + limitMs;
+    const endsAt = lifecycle.monotonicClock() + limitMs;
     let answers = await ask(controls);
-    while (answers.some((answer) => !serves(answer, revision)) && Date.now() < endsAt) {
+    while (answers.some((answer) => !serves(answer, revision)) && lifecycle.monotonicClock() < endsAt) {
         await new Promise((resolve) => setTimeout(resolve, WAIT_PERIOD_MS));
         answers = await ask(controls);
     }
--- a/packages/failures/src/faults.ts
+++ b/packages/failures/src/faults.ts
@@ -43,37 +43,37 @@
     return up.length > 2 ? random.pick(up) : undefined;
 }
 
-const killRouter: Inject = async (subject, random) => {
-    const router = pickRouter(subject, random);
-    if (!router) {
-        return "no router to spare";
-    }
-    const disturbance: subjects.Disturbance = { from: lifecycle.monotonicClock(), until: Infinity };
-    router.disturbances.push(disturbance);
-    router.up = false;
+/** Takes a router out of service for a while, as no planned stop does, and notes when. */
+function disturbRouter(
+    disturb: (subject: subjects.Subjects, router: subjects.RouterSubject) => Promise<void>,
+): Inject {
+    return async (subject, random) => {
+        const router = pickRouter(subject, random);
+        if (!router) {
+            return "no router to spare";
+        }
+        const disturbance: subjects.Disturbance = { from: lifecycle.monotonicClock(), until: Infinity };
+        router.disturbances.push(disturbance);
+        router.up = false;
+        await disturb(subject, router);
+        router.up = true;
+        disturbance.until = lifecycle.monotonicClock();
+        return router.router.host;
+    };
+}
+
+const killRouter = disturbRouter(async (subject, router) => {
     router.process.child.kill("SIGKILL");
     await router.process.ended;
     await lifecycle.pause(subject.scope, DOWN_MS);
     await restartRouter(subject, router);
-    disturbance.until = lifecycle.monotonicClock();
-    return router.router.host;
-};
+});
 
-const freezeRouter: Inject = async (subject, random) => {
-    const router = pickRouter(subject, random);
-    if (!router) {
-        return "no router to spare";
-    }
-    const disturbance: subjects.Disturbance = { from: lifecycle.monotonicClock(), until: Infinity };
-    router.disturbances.push(disturbance);
-    router.up = false;
+const freezeRouter = disturbRouter(async (subject, router) => {
     router.process.child.kill("SIGSTOP");
     await lifecycle.pause(subject.scope, FREEZE_MS);
     router.process.child.kill("SIGCONT");
-    router.up = true;
-    disturbance.until = lifecycle.monotonicClock();
-    return router.router.host;
-};
+});
 
 const stopRouter: Inject = async (subject, random) => {
     const router = pickRouter(subject, random);
--- a/packages/router/src/control.ts
+++ b/packages/router/src/control.ts
@@ -1,4 +1,5 @@
 import * as http from "node:http";
+import * as listening from "./listening.js";
 import type * as parts from "./parts.js";
 import * as reply from "./reply.js";
 
@@ -17,17 +18,7 @@
     const { context } = served;
     const watched = { ...state, ready: readyOnceStarted(served, state) };
     const server = http.createServer((request, response) => void answer(served, watched, request, response));
-    const { address, port } = context.settings.control;
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, address, resolve);
-    });
-    context.scope.own(() =>
-        new Promise((resolve) => {
-            server.close(() => resolve());
-            server.closeAllConnections();
-        })
-    );
+    await listening.listen(context.scope, server, context.settings.control);
 }
 
 /** A router is not ready before it has joined the fleet and knows the upstreams; after that, until it stops. */
--- /dev/null
+++ b/packages/router/src/listening.ts
@@ -0,0 +1,21 @@
+import type * as configuration from "@citronlead/configuration";
+import type * as lifecycle from "@citronlead/lifecycle";
+import type * as http from "node:http";
+
+/** Lets a server listen until the scope closes; then its connections are closed, whatever they carry. */
+export async function listen(
+    scope: lifecycle.Lifecycle,
+    server: http.Server,
+    { address, port }: configuration.RouterSettings["control"],
+): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, address, resolve);
+    });
+    scope.own(() =>
+        new Promise((resolve) => {
+            server.close(() => resolve());
+            server.closeAllConnections();
+        })
+    );
+}
--- a/packages/router/src/modelpath.ts
+++ b/packages/router/src/modelpath.ts
@@ -3,7 +3,6 @@
 import * as upstream from "@citronlead/upstream";
 import * as callerRequests from "./callerrequest.js";
 import * as enginememory from "./enginememory.js";
-import * as agents from "./modelpathagent.js";
 import * as overdue from "./modelpathoverdue.js";
 import type * as parts from "./parts.js";
 import * as quarantines from "./quarantineshell.js";
@@ -271,7 +270,7 @@
 function targetOf(journey: Journey, address: string): upstream.EngineTarget {
     return {
         address,
-        agent: agents.guardConnections(journey.parts.context.agent),
+        agent: journey.parts.context.agent,
         timeoutMs: Math.max(1, Math.min(CALL_TIMEOUT_MS, journey.request.deadline - journey.parts.context.clock())),
         signal: journey.request.signal,
     };
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -4,6 +4,7 @@
 import * as connectNode from "@connectrpc/connect-node";
 import * as http from "node:http";
 import type * as contexts from "./context.js";
+import * as listening from "./listening.js";
 
 /** The body of a message between routers, ready to be encoded. */
 export type PeerBody = protobuf.MessageInitShape<typeof protocol.PeerMessageSchema>["body"];
@@ -155,15 +156,5 @@
     });
     const server = http.createServer(handler);
     context.control.watchServer(server);
-    const { address, port } = context.settings.peers;
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, address, resolve);
-    });
-    context.scope.own(() =>
-        new Promise((resolve) => {
-            server.close(() => resolve());
-            server.closeAllConnections();
-        })
-    );
+    await listening.listen(context.scope, server, context.settings.peers);
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -2,8 +2,8 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as platform from "@citronlead/platform";
 import * as crypto from "node:crypto";
-import * as http from "node:http";
 import * as admissions from "./admissionshell.js";
+import * as agents from "./agent.js";
 import * as callers from "./callers.js";
 import * as configurations from "./configurationshell.js";
 import type * as contexts from "./context.js";
@@ -57,7 +57,7 @@
 function makeContext(settings: configuration.RouterSettings): contexts.Context {
     const scope = new lifecycle.Lifecycle("router");
     const incarnation = crypto.randomUUID();
-    const agent = new http.Agent({ keepAlive: true });
+    const agent = agents.makeAgent();
     scope.own(() => agent.destroy());
     const measured = metrics.makeMetrics();
     const controlTraffic = traffic.countControlTraffic(scope, measured.registry);
--- a/packages/router/src/schedulingshell.ts
+++ b/packages/router/src/schedulingshell.ts
@@ -5,7 +5,6 @@
 import type * as configurations from "./configurationshell.js";
 import * as contexts from "./context.js";
 import type * as memberships from "./membershipshell.js";
-import * as agents from "./modelpathagent.js";
 import type * as peers from "./peers.js";
 import * as baselines from "./schedulingbaseline.js";
 import * as clients from "./schedulingclient.js";
@@ -95,7 +94,6 @@
     known: upstreams.Upstreams,
     links: peers.Peers,
 ): Scheduling {
-    agents.guardConnections(context.agent);
     const baseline = baselines.wantedBaseline();
     if (baseline !== undefined) {
         return baselines.startBaseline(baseline, context, configuration, known);
--- a/packages/router/src/traffic.ts
+++ b/packages/router/src/traffic.ts
@@ -1,7 +1,8 @@
 import type * as lifecycle from "@citronlead/lifecycle";
-import * as http from "node:http";
-import * as net from "node:net";
+import type * as http from "node:http";
+import type * as net from "node:net";
 import * as promClient from "prom-client";
+import * as agents from "./agent.js";
 
 /** Counts the bytes of connections that carry control: those to the platform and to other routers. */
 export interface ControlTraffic {
@@ -36,25 +37,11 @@
         });
         return sum;
     });
-    const agent = countingAgent(watchSocket);
+    const agent = agents.makeAgent(watchSocket);
     scope.own(() => agent.destroy());
     return { agent, watchServer: (server) => server.on("connection", watchSocket) };
 }
 
-/** Makes an agent that tells of each connection that it makes. */
-function countingAgent(watchSocket: (socket: net.Socket) => void): http.Agent {
-    const agent = new http.Agent({ keepAlive: true });
-    const connect = agent.createConnection.bind(agent);
-    agent.createConnection = (options, callback) => {
-        const socket = connect(options, callback);
-        if (socket instanceof net.Socket) {
-            watchSocket(socket);
-        }
-        return socket;
-    };
-    return agent;
-}
-
 function registerBytes(registry: promClient.Registry, read: () => ByteCounts): void {
     new promClient.Gauge({
         name: "citronlead_control_bytes",
