Ask about one upstream in place of listing its pool

Cause: whether one upstream takes new work was answered by listing and describing its whole pool, for each engine at each load report of an owner, twice a second, and for each upstream in the status page.

Ruled out: keeping the answer; the list, reports and held-back engines change under it.

Before: three places filtered the pool for a name.

Conclusion: the cost of a report no longer grows with the square of the pool.

--- a/packages/router/src/control.ts
+++ b/packages/router/src/control.ts
@@ -78,7 +78,7 @@
         upstreams: upstreams.all(pool).map((candidate) => ({
             name: candidate.name,
             availabilityZone: candidate.availabilityZone,
-            usable: upstreams.usable(pool).some((usable) => usable.name === candidate.name),
+            usable: upstreams.takesWork(candidate.name),
             role: candidate.load?.role,
             running: candidate.load?.running,
             version: candidate.load?.version,
--- a/packages/router/src/schedulingowner.ts
+++ b/packages/router/src/schedulingowner.ts
@@ -190,7 +190,6 @@
     }
 
     private makeReport(engine: upstreams.KnownUpstream, load: upstream.LoadReport): scheduling.Report {
-        const usable = this.parts.known.usable(engine.pool).some((one) => one.name === engine.name);
         return {
             engine: engine.name,
             role: load.role === upstream.EngineRole.Prefill ? scheduling.Role.Prefill : scheduling.Role.Decode,
@@ -200,7 +199,7 @@
             running: load.running,
             memoryPieces: load.memoryPieces,
             heldPieces: load.heldPieces,
-            usable: usable && !load.departing,
+            usable: this.parts.known.takesWork(engine.name) && !load.departing,
         };
     }
 }
--- a/packages/router/src/schedulingshell.ts
+++ b/packages/router/src/schedulingshell.ts
@@ -232,7 +232,7 @@
     }
 
     private isUsable(engine: upstreams.KnownUpstream): boolean {
-        return this.known.usable(engine.pool).some((one) => one.name === engine.name);
+        return this.known.takesWork(engine.name);
     }
 
     private enginesOf(name: shards.ShardName): readonly upstreams.KnownUpstream[] {
--- a/packages/router/src/upstreams.ts
+++ b/packages/router/src/upstreams.ts
@@ -16,7 +16,9 @@
 export interface Upstreams {
     /** Whether an upstream leaves, by the list, its own report or its refusals. */
     readonly leaves: (host: platform.ListedHost) => boolean;
-    /** Those of a pool that take new work: they neither leave nor are held back. */
+    /** Whether an upstream is listed and takes new work: it neither leaves nor is held back. */
+    readonly takesWork: (name: string) => boolean;
+    /** Those of a pool that take new work. */
     readonly usable: (pool: string) => readonly KnownUpstream[];
     /** All of a pool, departing ones included. */
     readonly all: (pool: string) => readonly KnownUpstream[];
@@ -68,6 +70,10 @@
     const all = (pool: string) => listed.filter((host) => host.pool === pool);
     return {
         leaves,
+        takesWork: (name) => {
+            const host = listed.find((one) => one.name === name);
+            return host !== undefined && !leaves(host) && !heldBack().has(name);
+        },
         usable: (pool) => {
             const held = heldBack();
             return all(pool).filter((host) => !leaves(host) && !held.has(host.name)).map(describe);
