--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 
 /** Rules that keep the code to the TypeScript team's guidelines and to docs/HOUSE-STYLE.md. */
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/generated/**", "**/node_modules/**"] },
+    { ignores: ["target/**", "**/dist/**", "**/generated/**", "**/node_modules/**"] },
     js.configs.recommended,
     ...tseslint.configs.recommended,
     {
@@ -33,6 +33,9 @@
             ],
         },
     },
-    { files: ["packages/*/src/**/*.ts"], rules: { "no-console": "error" } },
-    { files: ["packages/*/test/**/*.ts"], rules: { "@typescript-eslint/no-unused-expressions": "off" } },
+    { files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"], rules: { "no-console": "error" } },
+    {
+        files: ["packages/*/test/**/*.ts", "platform/test/**/*.ts"],
+        rules: { "@typescript-eslint/no-unused-expressions": "off" },
+    },
 );
--- /dev/null
+++ b/packages/gateway/src/exchange.ts
@@ -0,0 +1,176 @@
+import * as decision from "@citronlead/decision";
+import type * as routing from "@citronlead/routing";
+import type * as http from "node:http";
+import type * as contexts from "./context.js";
+import type * as wires from "./wire.js";
+
+/** Why a request got its final answer. */
+export enum FinalReason {
+    Served = "served",
+    /** An upstream's own failure was passed on. */
+    UpstreamFailure = "upstreamFailure",
+    NotReady = "notReady",
+    BadRequest = "badRequest",
+    HeadersTooLong = "headersTooLong",
+    BodyTooLong = "bodyTooLong",
+    NoRoute = "noRoute",
+    KeyDenied = "keyDenied",
+    OverQuota = "overQuota",
+    ContentBarred = "contentBarred",
+    NoUpstream = "noUpstream",
+    NoRoom = "noRoom",
+    /** Every send that was allowed failed before the request ran. */
+    NotRun = "notRun",
+    /** The request may have run and no answer can be had. */
+    AnswerLost = "answerLost",
+    TimedOut = "timedOut",
+    CallerLeft = "callerLeft",
+    StreamBroken = "streamBroken",
+}
+
+/** One send to an upstream, for the log. */
+export interface Step {
+    readonly call: string;
+    readonly upstream: string;
+    readonly result: string;
+    readonly startedMs: number;
+    readonly tookMs: number;
+}
+
+/** A refusal or failure that the gateway answers by itself. */
+export interface Refusal {
+    readonly status: number;
+    readonly reason: FinalReason;
+    readonly retryAfterMs?: decision.Milliseconds;
+}
+
+/** Time by which the final answer goes out before the caller's deadline: a way to the caller and a late timer. */
+const ANSWER_MARGIN_MS = 25;
+
+/** A request whose route, workspace and body are known, until its final answer. */
+export class Exchange {
+    readonly startedAt: decision.Milliseconds;
+    readonly deadlineAt: decision.Milliseconds;
+    readonly targetAt: decision.Milliseconds;
+    readonly steps: Step[] = [];
+    private readonly abortion = new AbortController();
+    private readonly timer: NodeJS.Timeout;
+    private finished = false;
+    /** Whether an upstream may have run the request. */
+    mayHaveRun = false;
+
+    constructor(
+        readonly context: contexts.GatewayContext,
+        readonly request: http.IncomingMessage,
+        readonly response: http.ServerResponse,
+        readonly facts: wires.CallerFacts,
+        readonly route: routing.Route,
+        readonly service: string,
+        readonly workspace: routing.Workspace | undefined,
+        readonly body: Buffer | undefined,
+        readonly content: string,
+        startedAt: decision.Milliseconds,
+    ) {
+        this.startedAt = startedAt;
+        const patienceMs = (facts.patienceMs ?? Infinity) - ANSWER_MARGIN_MS;
+        this.deadlineAt = startedAt + Math.min(route.timeoutMs, patienceMs);
+        this.targetAt = startedAt + route.latencyTargetMs;
+        this.timer = setTimeout(() => this.timeOut(), Math.max(0, this.deadlineAt - context.clock()));
+        response.on("close", () => this.callerLeft());
+    }
+
+    /** Aborted when the request has its final answer or its caller has left. */
+    get signal(): AbortSignal {
+        return this.abortion.signal;
+    }
+
+    /** Whether the final answer is out or the caller has left. */
+    get over(): boolean {
+        return this.finished;
+    }
+
+    /** Time left until the deadline. */
+    get leftMs(): decision.Milliseconds {
+        return this.deadlineAt - this.context.clock();
+    }
+
+    /** Urgency among the requests of a service, 0 first. */
+    get priority(): number {
+        return this.workspace?.priority ?? this.route.priority;
+    }
+
+    /** Memory that the request needs at an engine, in tokens. */
+    get tokens(): number {
+        return this.facts.promptTokens + this.facts.outputTokens;
+    }
+
+    /** Notes a send for the log and the metrics. */
+    step(call: string, upstream: string, result: string, startedAt: decision.Milliseconds): void {
+        const { clock, metrics } = this.context;
+        metrics.sends.inc({ service: this.service, call, result });
+        this.steps.push({
+            call,
+            upstream,
+            result,
+            startedMs: Math.round(startedAt - this.startedAt),
+            tookMs: Math.round(clock() - startedAt),
+        });
+    }
+
+    /** Passes on the head of an upstream's answer. */
+    beginAnswer(status: number, headers: readonly string[]): void {
+        this.context.metrics.firstByte.observe(
+            { service: this.service },
+            (this.context.clock() - this.startedAt) / decision.SECOND_MS,
+        );
+        this.response.writeHead(status, headers as unknown as http.OutgoingHttpHeader[]);
+    }
+
+    /** Ends an answer that was passed on whole. */
+    endAnswer(reason: FinalReason, body?: Buffer): void {
+        if (this.finished) {
+            return;
+        }
+        this.response.end(body);
+        this.finish(reason, this.response.statusCode);
+    }
+
+    /** Breaks off an answer that cannot be completed, so that the caller does not take it for whole. */
+    breakAnswer(reason: FinalReason): void {
+        if (this.finished) {
+            return;
+        }
+        this.finish(reason, this.response.statusCode);
+        this.response.destroy();
+    }
+
+    /** Refuses the request, or fails it if a part of its answer is out. */
+    refuse(refusal: Refusal): void {
+        if (this.finished) {
+            return;
+        }
+        if (this.response.headersSent) {
+            this.breakAnswer(refusal.reason);
+            return;
+        }
+        this.finish(refusal.reason, refusal.status);
+        this.context.answerRefusal(this.response, this.facts.requestId, refusal);
+    }
+
+    private timeOut(): void {
+        this.refuse({ status: this.mayHaveRun ? 504 : 503, reason: FinalReason.TimedOut, retryAfterMs: 0 });
+    }
+
+    private callerLeft(): void {
+        if (!this.finished) {
+            this.finish(FinalReason.CallerLeft, 0);
+        }
+    }
+
+    private finish(reason: FinalReason, status: number): void {
+        this.finished = true;
+        clearTimeout(this.timer);
+        this.abortion.abort();
+        this.context.logOutcome(this, reason, status);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/headers.ts
@@ -0,0 +1,40 @@
+/** Headers that concern one connection only, in lower case. */
+const CONNECTION_HEADERS = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "content-length",
+]);
+
+/** The headers of a flat list of names and values that concern the whole path and are not in the set, in lower case. */
+export function endToEndHeaders(raw: readonly string[], dropped: ReadonlySet<string>): string[] {
+    const named = new Set<string>();
+    for (let index = 0; index + 1 < raw.length; index += 2) {
+        if ((raw[index] as string).toLowerCase() === "connection") {
+            (raw[index + 1] as string).split(",").forEach((name) => named.add(name.trim().toLowerCase()));
+        }
+    }
+    const kept: string[] = [];
+    for (let index = 0; index + 1 < raw.length; index += 2) {
+        const name = (raw[index] as string).toLowerCase();
+        if (!CONNECTION_HEADERS.has(name) && !named.has(name) && !dropped.has(name)) {
+            kept.push(raw[index] as string, raw[index + 1] as string);
+        }
+    }
+    return kept;
+}
+
+const NONE: ReadonlySet<string> = new Set();
+
+/** Headers of an upstream's answer for the caller; with the length of the body if it is whole. */
+export function answerHeaders(raw: readonly string[], length: number | undefined): string[] {
+    const kept = endToEndHeaders(raw, NONE);
+    return length === undefined ? kept : [...kept, "Content-Length", String(length)];
+}
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,54 @@
+import * as promClient from "prom-client";
+
+/** Counters and latency histograms of a gateway. Times are in seconds. */
+export interface GatewayMetrics {
+    readonly registry: promClient.Registry;
+    readonly requests: promClient.Counter<"service" | "outcome">;
+    readonly sends: promClient.Counter<"service" | "call" | "result">;
+    readonly firstByte: promClient.Histogram<"service">;
+    readonly duration: promClient.Histogram<"service">;
+    readonly waiting: promClient.Histogram<"service">;
+    readonly connections: promClient.Counter;
+    readonly droppedLogLines: promClient.Counter;
+    readonly storeCalls: promClient.Counter<"call" | "result">;
+    readonly configurationVersion: promClient.Gauge;
+}
+
+/** Bounds of the latency histograms, around the targets of tenths of a second to deadlines of some seconds. */
+const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.9, 1.5, 3, 6, 14];
+
+/** Makes the metrics of a gateway. */
+export function makeGatewayMetrics(): GatewayMetrics {
+    const registry = new promClient.Registry();
+    const registers = [registry];
+    const counter = <Label extends string>(name: string, help: string, labelNames: readonly Label[]) =>
+        new promClient.Counter({ name, help, labelNames, registers });
+    const histogram = (name: string, help: string) =>
+        new promClient.Histogram({
+            name,
+            help,
+            labelNames: ["service"] as const,
+            buckets: LATENCY_BUCKETS_SECONDS,
+            registers,
+        });
+    return {
+        registry,
+        requests: counter("citronlead_gateway_requests_total", "Requests by outcome.", ["service", "outcome"]),
+        sends: counter("citronlead_gateway_sends_total", "Sends to upstreams by result.", [
+            "service",
+            "call",
+            "result",
+        ]),
+        firstByte: histogram("citronlead_gateway_first_byte_seconds", "From arrival to the first byte of the answer."),
+        duration: histogram("citronlead_gateway_duration_seconds", "From arrival to the end of the answer."),
+        waiting: histogram("citronlead_gateway_waiting_seconds", "Time spent waiting for room at an engine."),
+        connections: counter("citronlead_gateway_connections_total", "Connections opened to upstreams.", []),
+        droppedLogLines: counter("citronlead_gateway_dropped_log_lines_total", "Log lines beyond the bound.", []),
+        storeCalls: counter("citronlead_gateway_store_calls_total", "Calls to the store.", ["call", "result"]),
+        configurationVersion: new promClient.Gauge({
+            name: "citronlead_gateway_configuration_version",
+            help: "Version of the configuration in force.",
+            registers,
+        }),
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/send.ts
@@ -0,0 +1,184 @@
+import * as decision from "@citronlead/decision";
+import * as dispatch from "@citronlead/dispatch";
+import * as routing from "@citronlead/routing";
+import type * as http from "node:http";
+import type * as exchanges from "./exchange.js";
+import * as calls from "./upstreamcall.js";
+import type * as wires from "./wire.js";
+
+/** What a send says beside the request itself. */
+export interface SendOptions {
+    /** Names the send in logs and metrics. */
+    readonly call: string;
+    readonly headTimeoutMs: decision.Milliseconds;
+    readonly prefillOnly?: boolean;
+    readonly prefillSource?: string;
+    readonly reservation?: string;
+    readonly resumeAfter?: string;
+}
+
+/** How a send ended, up to the head of the answer. */
+export enum SendKind {
+    /** The head of the request's own answer arrived. */
+    Answer = "answer",
+    /** The upstream did not run the request and will not. */
+    NotRun = "notRun",
+    /** The request may have run and its answer is lost. */
+    Lost = "lost",
+}
+
+/** The outcome of a send. */
+export type Sent =
+    | { readonly kind: SendKind.Answer; readonly response: http.IncomingMessage; readonly facts: wires.AnswerFacts; }
+    | { readonly kind: SendKind.NotRun; readonly full: boolean; readonly reason: string; }
+    | {
+        readonly kind: SendKind.Lost;
+        readonly reason: string;
+        /** Whether the upstream ended the connection without an answer, as one that crashes does. */
+        readonly broken: boolean;
+    };
+
+/** Shortest time that is passed on to an upstream. */
+const SHORTEST_TIME_LEFT_MS = 1;
+/** Time to read the short body of a refusal, after which its connection is closed. */
+const REFUSAL_BODY_TIMEOUT_MS = 200;
+
+/** Sends the request of an exchange to an upstream and classifies what comes back. */
+export async function send(
+    exchange: exchanges.Exchange,
+    { upstream, health }: dispatch.Candidate,
+    options: SendOptions,
+): Promise<Sent> {
+    const { context, request, facts } = exchange;
+    const startedAt = context.clock();
+    const forwarding: wires.Forwarding = {
+        expectedUpstream: upstream.id,
+        timeLeftMs: Math.max(SHORTEST_TIME_LEFT_MS, Math.floor(exchange.leftMs)),
+        workspace: exchange.workspace?.name,
+        priority: exchange.route.generative ? exchange.priority : undefined,
+        prefillOnly: options.prefillOnly ?? false,
+        prefillSource: options.prefillSource,
+        reservation: options.reservation,
+        resumeAfter: options.resumeAfter,
+    };
+    const head = await calls.openCall(context.agent, {
+        upstream,
+        incarnation: routing.incarnationOf(upstream),
+        method: request.method ?? "GET",
+        path: request.url ?? "/",
+        headers: context.wire.upstreamHeaders(request.rawHeaders, forwarding),
+        body: exchange.body,
+        headTimeoutMs: Math.min(options.headTimeoutMs, exchange.leftMs),
+        signal: exchange.signal,
+    });
+    const sent = await classify(exchange, head, facts.requestId);
+    const text = sent.kind === SendKind.Answer ? String(sent.response.statusCode) : `${sent.kind}: ${sent.reason}`;
+    exchange.step(options.call, upstream.id, text, startedAt);
+    recordHealth(health, sent, exchange.over, context.clock());
+    if (sent.kind === SendKind.Lost && sent.broken) {
+        reportCrash(exchange, upstream);
+    }
+    return sent;
+}
+
+async function classify(
+    exchange: exchanges.Exchange,
+    head: calls.CallHead,
+    requestId: string | undefined,
+): Promise<Sent> {
+    if (head.progress !== calls.CallProgress.Head) {
+        return head.progress === calls.CallProgress.NotSent
+            ? { kind: SendKind.NotRun, full: false, reason: head.reason }
+            : { kind: SendKind.Lost, reason: head.reason, broken: head.broken };
+    }
+    const { response } = head;
+    const facts = exchange.context.wire.readAnswer(response.headers);
+    if (facts.requestId !== undefined && requestId !== undefined && facts.requestId !== requestId) {
+        response.destroy();
+        return { kind: SendKind.Lost, reason: "answer to another request", broken: false };
+    }
+    const otherUpstream = response.statusCode === 421;
+    if (facts.notRun || otherUpstream) {
+        await calls.readWhole(response, REFUSAL_BODY_TIMEOUT_MS);
+        return {
+            kind: SendKind.NotRun,
+            full: !otherUpstream,
+            reason: `${otherUpstream ? "another upstream" : "refused"} ${response.statusCode}`,
+        };
+    }
+    return { kind: SendKind.Answer, response, facts };
+}
+
+/** Notes that an upstream ended its connection while it ran the content of an exchange, and tells the other hosts. */
+export function reportCrash(exchange: exchanges.Exchange, upstream: routing.Upstream): void {
+    const { context, content, facts } = exchange;
+    const report = { content, incarnation: routing.incarnationOf(upstream) };
+    const crashes = context.suspects.add(report, context.clock());
+    context.peers.tellCrashes([report]);
+    context.log.decision("content suspected", { requestId: facts.requestId, ...report, crashes });
+}
+
+function recordHealth(
+    health: dispatch.UpstreamHealth,
+    sent: Sent,
+    over: boolean,
+    now: decision.Milliseconds,
+): void {
+    if (sent.kind === SendKind.Answer) {
+        const failed = (sent.response.statusCode ?? 500) >= 500;
+        health.record(failed ? dispatch.SendResult.Failed : dispatch.SendResult.Answered, now);
+    }
+    else if (sent.kind === SendKind.NotRun && sent.full) {
+        health.record(dispatch.SendResult.Full, now);
+    }
+    else if (!over) {
+        health.record(dispatch.SendResult.Unreachable, now);
+    }
+}
+
+/** Makes a call to an engine beside requests, such as a reservation. The outcome's value is the parsed body. */
+export async function callEngine(
+    exchange: exchanges.Exchange,
+    { upstream }: dispatch.Candidate,
+    call: wires.EngineCall,
+    timeoutMs: decision.Milliseconds,
+    signal: AbortSignal | undefined,
+): Promise<decision.Outcome<{ readonly status: number; readonly body: unknown; }>> {
+    const { context } = exchange;
+    const body = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
+    const head = await calls.openCall(context.agent, {
+        upstream,
+        incarnation: routing.incarnationOf(upstream),
+        method: call.method,
+        path: call.path,
+        headers: [
+            "Host",
+            upstream.address,
+            ...context.wire.callHeaders(upstream.id),
+            ...(body ? ["Content-Type", "application/json"] : []),
+        ],
+        body,
+        headTimeoutMs: timeoutMs,
+        signal,
+    });
+    if (head.progress !== calls.CallProgress.Head) {
+        return head.progress === calls.CallProgress.NotSent
+            ? decision.noEffect(head.reason)
+            : decision.unknownEffect(head.reason);
+    }
+    const bytes = await calls.readWhole(head.response, timeoutMs);
+    if (!bytes) {
+        return decision.unknownEffect("answer broken off");
+    }
+    return decision.known({ status: head.response.statusCode ?? 0, body: parseJson(bytes) });
+}
+
+/** Parses JSON; undefined if it is none. */
+export function parseJson(bytes: Buffer): unknown {
+    try {
+        return JSON.parse(bytes.toString("utf8"));
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/sideports.ts
@@ -0,0 +1,56 @@
+import type * as lifecycle from "@citronlead/lifecycle";
+import * as http from "node:http";
+import type * as promClient from "prom-client";
+import type * as settings from "./settings.js";
+
+/** Answers the balancer's question whether this host takes connections. */
+export function openReadiness(
+    scope: lifecycle.Lifecycle,
+    listen: settings.ListenAddress,
+    path: string,
+    ready: () => boolean,
+): Promise<void> {
+    return openPort(scope, listen, (request, response) => {
+        response.statusCode = request.url !== path ? 404 : ready() ? 200 : 503;
+        response.end();
+    });
+}
+
+/** Serves the metrics as text. */
+export function openMetrics(
+    scope: lifecycle.Lifecycle,
+    listen: settings.ListenAddress,
+    path: string,
+    registry: promClient.Registry,
+): Promise<void> {
+    return openPort(scope, listen, (request, response) => {
+        if (request.url !== path) {
+            response.statusCode = 404;
+            response.end();
+            return;
+        }
+        void registry.metrics().then((text) => {
+            response.setHeader("Content-Type", registry.contentType);
+            response.end(text);
+        });
+    });
+}
+
+async function openPort(
+    scope: lifecycle.Lifecycle,
+    listen: settings.ListenAddress,
+    handle: http.RequestListener,
+): Promise<void> {
+    const server = http.createServer((request, response) => {
+        request.resume();
+        handle(request, response);
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(listen.port, listen.address, resolve);
+    });
+    scope.own(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/streamrelay.ts
@@ -0,0 +1,85 @@
+import type * as decision from "@citronlead/decision";
+import type * as http from "node:http";
+import * as events from "./eventstream.js";
+import * as exchanges from "./exchange.js";
+import * as headers from "./headers.js";
+
+/** How the relay of a stream ended. */
+export enum RelayEnd {
+    Complete = "complete",
+    /** The upstream broke off or fell silent; the caller's answer is still open. */
+    Broken = "broken",
+    /** The caller has its final answer or has left. */
+    Over = "over",
+}
+
+/** What has been passed on of a stream, over all upstreams that made it. */
+export interface StreamProgress {
+    lastEventId: string | undefined;
+}
+
+/** Longest buffer of an event that is not whole, in bytes. */
+const EVENT_LIMIT_BYTES = 1_048_576;
+
+/** Passes whole events on as they arrive until the stream ends, breaks or is silent for too long. */
+export function relayEvents(
+    exchange: exchanges.Exchange,
+    source: http.IncomingMessage,
+    progress: StreamProgress,
+    silenceMs: decision.Milliseconds,
+): Promise<RelayEnd> {
+    const { response } = exchange;
+    const splitter = new events.EventSplitter();
+    return new Promise((resolve) => {
+        let timer = setTimeout(silent, silenceMs);
+        function silent(): void {
+            source.destroy();
+        }
+        const pass = (bytes: Buffer) => {
+            if (!response.headersSent) {
+                exchange.beginAnswer(source.statusCode ?? 200, headers.answerHeaders(source.rawHeaders, undefined));
+            }
+            if (!response.write(bytes)) {
+                source.pause();
+                response.once("drain", () => source.resume());
+            }
+        };
+        const onAbort = () => source.destroy();
+        exchange.signal.addEventListener("abort", onAbort);
+        source.on("data", (bytes: Buffer) => {
+            if (exchange.over) {
+                return;
+            }
+            const whole = splitter.push(bytes);
+            if (whole) {
+                clearTimeout(timer);
+                timer = setTimeout(silent, silenceMs);
+                pass(whole);
+                progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
+            }
+            else if (splitter.remainder.length > EVENT_LIMIT_BYTES) {
+                source.destroy();
+            }
+        });
+        source.on("close", () => {
+            clearTimeout(timer);
+            exchange.signal.removeEventListener("abort", onAbort);
+            if (exchange.over) {
+                resolve(RelayEnd.Over);
+                return;
+            }
+            if (!source.complete || source.errored) {
+                resolve(RelayEnd.Broken);
+                return;
+            }
+            if (splitter.remainder.length > 0 || !response.headersSent) {
+                pass(splitter.remainder);
+            }
+            exchange.endAnswer(exchanges.FinalReason.Served);
+            resolve(RelayEnd.Complete);
+        });
+        if (source.closed) {
+            source.emit("close");
+        }
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/upstreamagent.ts
@@ -0,0 +1,82 @@
+import type * as decision from "@citronlead/decision";
+import * as http from "node:http";
+import * as net from "node:net";
+import type * as stream from "node:stream";
+
+/** Longest time for a connection to be made; hosts and upstreams are a millisecond apart. */
+const CONNECT_TIMEOUT_MS = 350;
+/** Longest time for which a connection is kept idle when the upstream names none. */
+const IDLE_LIMIT_MS = 10_000;
+/** Time by which a connection is given up before the upstream closes it: whole seconds round the upstream's word. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** What is known of a connection. */
+interface ConnectionFacts {
+    /** Longest time for which it may stay idle; 0 if it must not be used again. */
+    idleLimitMs: decision.Milliseconds;
+}
+
+/** Request options by which connections are told apart: those of a former incarnation are never used for a new one. */
+export interface UpstreamRequestOptions extends http.RequestOptions {
+    readonly incarnation: string;
+}
+
+/** Keeps connections to upstreams open between requests. Bytes that arrive on an idle connection end it. */
+export class UpstreamAgent extends http.Agent {
+    private readonly facts = new WeakMap<stream.Duplex, ConnectionFacts>();
+
+    constructor(private readonly onConnection: () => void) {
+        super({ keepAlive: true, scheduling: "lifo" });
+    }
+
+    override getName(options?: object): string {
+        return (options as UpstreamRequestOptions | undefined)?.incarnation ?? "";
+    }
+
+    override createConnection(options: http.ClientRequestArgs): stream.Duplex {
+        this.onConnection();
+        const socket = net.connect({ host: options.host ?? "", port: Number(options.port), noDelay: true });
+        const timer = setTimeout(() => socket.destroy(new Error("connect timeout")), CONNECT_TIMEOUT_MS);
+        socket.once("connect", () => clearTimeout(timer));
+        socket.once("close", () => clearTimeout(timer));
+        // A request that is aborted as its answer ends has lost its own listener by the time the error is reported.
+        socket.on("error", () => undefined);
+        return socket;
+    }
+
+    override keepSocketAlive(socket: stream.Duplex): boolean {
+        const idleLimitMs = this.facts.get(socket)?.idleLimitMs ?? IDLE_LIMIT_MS;
+        if (idleLimitMs <= 0 || !(socket instanceof net.Socket) || socket.destroyed) {
+            return false;
+        }
+        socket.setKeepAlive(true);
+        socket.unref();
+        socket.setTimeout(idleLimitMs);
+        socket.on("data", destroyIdle);
+        return true;
+    }
+
+    override reuseSocket(socket: stream.Duplex, request: http.ClientRequest): void {
+        socket.off("data", destroyIdle);
+        if (socket instanceof net.Socket) {
+            socket.setTimeout(0);
+        }
+        super.reuseSocket(socket, request);
+    }
+
+    /** Takes in how long the upstream keeps the connection of an answer idle. */
+    noteAnswer(socket: stream.Duplex, headers: http.IncomingHttpHeaders): void {
+        const seconds = /timeout=(\d+)/.exec(String(headers["keep-alive"] ?? ""))?.[1];
+        const idleLimitMs = seconds === undefined ? IDLE_LIMIT_MS : Number(seconds) * 1_000 - IDLE_MARGIN_MS;
+        this.facts.set(socket, { idleLimitMs: Math.min(IDLE_LIMIT_MS, Math.max(0, idleLimitMs)) });
+    }
+
+    /** Closes the idle connections of an incarnation that has left. */
+    forget(incarnation: string): void {
+        this.freeSockets[incarnation]?.forEach((socket) => socket.destroy());
+    }
+}
+
+function destroyIdle(this: stream.Duplex): void {
+    this.destroy();
+}
--- /dev/null
+++ b/packages/gateway/src/upstreamcall.ts
@@ -0,0 +1,134 @@
+import type * as decision from "@citronlead/decision";
+import type * as routing from "@citronlead/routing";
+import * as http from "node:http";
+import * as agents from "./upstreamagent.js";
+
+/** A request to an upstream. */
+export interface UpstreamCall {
+    readonly upstream: routing.Upstream;
+    readonly incarnation: string;
+    readonly method: string;
+    readonly path: string;
+    /** Names and values in turn; the length of the body is added. */
+    readonly headers: readonly string[];
+    readonly body: Buffer | undefined;
+    /** Longest time until the head of the answer. */
+    readonly headTimeoutMs: decision.Milliseconds;
+    /** Ends the call and its connection when aborted. */
+    readonly signal: AbortSignal | undefined;
+}
+
+/** How far a call got. */
+export enum CallProgress {
+    /** The head of an answer arrived. */
+    Head = "head",
+    /** The connection was never made, so nothing was sent. */
+    NotSent = "notSent",
+    /** The request was sent, or may have been, and no answer arrived. */
+    NoAnswer = "noAnswer",
+}
+
+/** The outcome of a call up to the head of its answer. */
+export type CallHead =
+    | { readonly progress: CallProgress.Head; readonly response: http.IncomingMessage; }
+    | {
+        readonly progress: CallProgress.NotSent | CallProgress.NoAnswer;
+        readonly reason: string;
+        /** Whether the other side ended the connection, rather than a timeout or the caller. */
+        readonly broken: boolean;
+    };
+
+/** Sends a request and waits for the head of the answer. */
+export function openCall(agent: agents.UpstreamAgent, call: UpstreamCall): Promise<CallHead> {
+    const { host, port } = splitAddress(call.upstream.address);
+    return new Promise((resolve) => {
+        if (call.signal?.aborted) {
+            resolve({ progress: CallProgress.NotSent, reason: "aborted", broken: false });
+            return;
+        }
+        const options: agents.UpstreamRequestOptions = {
+            host,
+            port,
+            method: call.method,
+            path: call.path,
+            headers: withLength(call.headers, call.body) as unknown as http.OutgoingHttpHeaders,
+            setHost: false,
+            agent,
+            incarnation: call.incarnation,
+        };
+        const request = http.request(options);
+        let connected = false;
+        let reason: string | undefined;
+        let stopped = false;
+        const stop = (why: string) => {
+            reason ??= why;
+            stopped = true;
+            request.destroy();
+        };
+        const timer = setTimeout(() => stop("timeout"), Math.max(1, call.headTimeoutMs));
+        const onAbort = () => stop("aborted");
+        call.signal?.addEventListener("abort", onAbort);
+        request.on("socket", (socket) => {
+            if (!socket.connecting) {
+                connected = true;
+            }
+            socket.once("connect", () => connected = true);
+        });
+        request.on("error", (error) => reason ??= error.message);
+        request.on("close", () => {
+            clearTimeout(timer);
+            call.signal?.removeEventListener("abort", onAbort);
+            resolve({
+                progress: connected ? CallProgress.NoAnswer : CallProgress.NotSent,
+                reason: reason ?? "closed",
+                broken: !stopped,
+            });
+        });
+        request.on("response", (response) => {
+            clearTimeout(timer);
+            agent.noteAnswer(response.socket, response.headers);
+            // The rest of a body must not be left on a connection that another request will use.
+            if (!request.writableFinished) {
+                response.once("end", () => response.socket.destroy());
+            }
+            response.on("error", () => undefined);
+            resolve({ progress: CallProgress.Head, response });
+        });
+        request.end(call.body);
+    });
+}
+
+function withLength(headers: readonly string[], body: Buffer | undefined): string[] {
+    return body === undefined ? [...headers] : [...headers, "Content-Length", String(body.length)];
+}
+
+function splitAddress(address: string): { host: string; port: number; } {
+    const colon = address.lastIndexOf(":");
+    return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+/** Largest answer that is collected before it is passed on, in bytes. */
+const WHOLE_ANSWER_LIMIT_BYTES = 16 * 1_048_576;
+
+/** Reads a whole answer. Undefined if it broke off, is too long or takes too long. */
+export function readWhole(
+    response: http.IncomingMessage,
+    timeoutMs: decision.Milliseconds,
+): Promise<Buffer | undefined> {
+    return new Promise((resolve) => {
+        const pieces: Buffer[] = [];
+        let length = 0;
+        const timer = setTimeout(() => response.destroy(), Math.max(1, timeoutMs));
+        response.on("data", (piece: Buffer) => {
+            length += piece.length;
+            pieces.push(piece);
+            if (length > WHOLE_ANSWER_LIMIT_BYTES) {
+                response.destroy();
+            }
+        });
+        response.on("close", () => {
+            clearTimeout(timer);
+            resolve(response.complete && !response.errored ? Buffer.concat(pieces) : undefined);
+        });
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/upstreampool.ts
@@ -0,0 +1,51 @@
+import type * as decision from "@citronlead/decision";
+import * as dispatch from "@citronlead/dispatch";
+import * as routing from "@citronlead/routing";
+
+/** The upstreams that take work, each with what this host knows of its incarnation. */
+export class UpstreamPool {
+    private readonly health = new Map<string, dispatch.UpstreamHealth>();
+    private directory: routing.Directory = routing.emptyDirectory;
+
+    constructor(private readonly onGone: (incarnation: string) => void) {}
+
+    /** Takes a directory in and forgets the incarnations that have left and have no work under way. */
+    update(directory: routing.Directory): void {
+        this.directory = directory;
+        const listed = new Set<string>();
+        for (const { upstream } of directory.known.values()) {
+            listed.add(routing.incarnationOf(upstream));
+        }
+        for (const [incarnation, health] of this.health) {
+            if (!listed.has(incarnation) && health.inFlight === 0) {
+                this.health.delete(incarnation);
+                this.onGone(incarnation);
+            }
+        }
+    }
+
+    /** Time since the newest listing. */
+    age(now: decision.Milliseconds): decision.Milliseconds {
+        return this.directory.listedAt === undefined ? Infinity : now - this.directory.listedAt;
+    }
+
+    /** The upstreams of a service that take new work. */
+    candidates(service: string): dispatch.Candidate[] {
+        return routing.takingWork(this.directory, service).map((upstream) => ({
+            upstream,
+            health: this.healthOf(upstream),
+        }));
+    }
+
+    /** Whether any upstream takes new work. */
+    get usable(): boolean {
+        return this.directory.known.size > 0;
+    }
+
+    private healthOf(upstream: routing.Upstream): dispatch.UpstreamHealth {
+        const incarnation = routing.incarnationOf(upstream);
+        const known = this.health.get(incarnation) ?? new dispatch.UpstreamHealth();
+        this.health.set(incarnation, known);
+        return known;
+    }
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -3,7 +3,6 @@
 import * as platform from "@citronlead/platform";
 import * as crypto from "node:crypto";
 import * as admissions from "./admissionshell.js";
-import * as agents from "./agent.js";
 import * as callers from "./callers.js";
 import * as configurations from "./configurationshell.js";
 import type * as contexts from "./context.js";
@@ -57,7 +56,7 @@
 function makeContext(settings: configuration.RouterSettings): contexts.Context {
     const scope = new lifecycle.Lifecycle("router");
     const incarnation = crypto.randomUUID();
-    const agent = agents.makeAgent();
+    const agent = platform.makeAgent();
     scope.own(() => agent.destroy());
     const measured = metrics.makeMetrics();
     const controlTraffic = traffic.countControlTraffic(scope, measured.registry);
--- a/packages/router/src/traffic.ts
+++ b/packages/router/src/traffic.ts
@@ -1,8 +1,8 @@
 import type * as lifecycle from "@citronlead/lifecycle";
+import * as platform from "@citronlead/platform";
 import type * as http from "node:http";
 import type * as net from "node:net";
 import * as promClient from "prom-client";
-import * as agents from "./agent.js";
 
 /** Counts the bytes of connections that carry control: those to the platform and to other routers. */
 export interface ControlTraffic {
@@ -37,7 +37,7 @@
         });
         return sum;
     });
-    const agent = agents.makeAgent(watchSocket);
+    const agent = platform.makeAgent(watchSocket);
     scope.own(() => agent.destroy());
     return { agent, watchServer: (server) => server.on("connection", watchSocket) };
 }
--- a/packages/router/test/membershipcontext.ts
+++ b/packages/router/test/membershipcontext.ts
@@ -2,7 +2,6 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as platform from "@citronlead/platform";
 import * as crypto from "node:crypto";
-import * as agents from "../src/agent.js";
 import type * as contexts from "../src/context.js";
 import * as logs from "../src/log.js";
 import * as metrics from "../src/metrics.js";
@@ -26,7 +25,7 @@
         log: { level: "silent" },
     });
     const incarnation = crypto.randomUUID();
-    const agent = agents.makeAgent();
+    const agent = platform.makeAgent();
     scope.own(() => agent.destroy());
     const measured = metrics.makeMetrics();
     return {
--- a/packages/router/test/modelpathfixture.ts
+++ b/packages/router/test/modelpathfixture.ts
@@ -1,9 +1,9 @@
 import * as configuration from "@citronlead/configuration";
 import * as lifecycle from "@citronlead/lifecycle";
+import * as platform from "@citronlead/platform";
 import * as standins from "@citronlead/standins";
 import * as chai from "chai";
 import * as pino from "pino";
-import * as agents from "../src/agent.js";
 import * as callerRequests from "../src/callerrequest.js";
 import type * as contexts from "../src/context.js";
 import * as metrics from "../src/metrics.js";
@@ -95,7 +95,7 @@
     if (!checked.valid) {
         throw new Error("the settings are not valid");
     }
-    const agent = agents.makeAgent();
+    const agent = platform.makeAgent();
     scope.own(() => agent.destroy());
     return {
         settings: checked.value,
--- /dev/null
+++ b/packages/routing/src/routetable.ts
@@ -0,0 +1,84 @@
+import type * as configuration from "./configuration.js";
+
+/** A configuration indexed for requests. */
+export interface RouteTable {
+    readonly configuration: configuration.RoutedConfiguration;
+    readonly routesByHostName: ReadonlyMap<string, readonly configuration.Route[]>;
+    readonly workspaceByKey: ReadonlyMap<string, configuration.Workspace>;
+    readonly serviceByName: ReadonlyMap<string, configuration.Service>;
+}
+
+/** Indexes a configuration. */
+export function makeRouteTable(source: configuration.RoutedConfiguration): RouteTable {
+    const routesByHostName = new Map<string, configuration.Route[]>();
+    for (const route of source.routes) {
+        const routes = routesByHostName.get(route.hostName) ?? [];
+        routes.push(route);
+        routesByHostName.set(route.hostName, routes);
+    }
+    for (const routes of routesByHostName.values()) {
+        routes.sort((one, other) => other.pathPrefix.length - one.pathPrefix.length);
+    }
+    const workspaceByKey = new Map<string, configuration.Workspace>();
+    for (const workspace of source.workspaces ?? []) {
+        workspace.keys.forEach((key) => workspaceByKey.set(key, workspace));
+    }
+    return {
+        configuration: source,
+        routesByHostName,
+        workspaceByKey,
+        serviceByName: new Map(source.services.map((service) => [service.name, service])),
+    };
+}
+
+/** The host name of a Host header: lower case, without its port. */
+export function hostNameOf(header: string): string {
+    return header.trim().toLowerCase().replace(/:\d*$/, "");
+}
+
+/** The route with the longest prefix that begins the path, or undefined. The path may end with a query. */
+export function findRoute(
+    table: RouteTable,
+    hostHeader: string,
+    pathAndQuery: string,
+): configuration.Route | undefined {
+    const query = pathAndQuery.indexOf("?");
+    const path = query < 0 ? pathAndQuery : pathAndQuery.slice(0, query);
+    return table.routesByHostName.get(hostNameOf(hostHeader))?.find((route) => path.startsWith(route.pathPrefix));
+}
+
+/** Picks a target by weight. The fraction is from 0 to 1 (excluded). Undefined if no target takes requests. */
+export function pickTarget(route: configuration.Route, fraction: number): string | undefined {
+    const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+    let left = fraction * total;
+    for (const target of route.targets) {
+        left -= target.weight;
+        if (left < 0) {
+            return target.service;
+        }
+    }
+    return undefined;
+}
+
+/** The kinds of outcome of a key check. */
+export enum Access {
+    /** The route needs no key. */
+    Open = "open",
+    Granted = "granted",
+    /** No workspace holds the key. */
+    Denied = "denied",
+}
+
+/** Whose request it is. */
+export type KeyCheck =
+    | { readonly access: Access.Open | Access.Denied; }
+    | { readonly access: Access.Granted; readonly workspace: configuration.Workspace; };
+
+/** Checks the key of a request on a route. */
+export function checkKey(table: RouteTable, route: configuration.Route, key: string | undefined): KeyCheck {
+    if (route.open || table.configuration.workspaces === undefined) {
+        return { access: Access.Open };
+    }
+    const workspace = key === undefined ? undefined : table.workspaceByKey.get(key);
+    return workspace ? { access: Access.Granted, workspace } : { access: Access.Denied };
+}
