--- a/packages/dispatch/src/quota.ts
+++ b/packages/dispatch/src/quota.ts
@@ -16,40 +16,96 @@
 
 const GRANTED: QuotaAnswer = { granted: true };
 
-/** A token bucket; it is debited before the request that it pays for runs. */
-class Bucket {
-    private level: number;
+/** Parts of the window by which charges are forgotten. */
+const PARTS = 40;
 
-    constructor(private limit: QuotaLimit, private at: decision.Milliseconds) {
-        this.level = limit.burst;
+/**
+ * Charges of the last window in equal parts of time. It starts as if the rate had been used up to now: what another owner
+ * granted before is not known, so only the burst and what the rate adds may be granted at first.
+ */
+class Ledger {
+    private readonly parts: number[];
+    private part: number;
+    private sum: number;
+
+    constructor(
+        private limit: QuotaLimit,
+        private readonly windowMs: decision.Milliseconds,
+        now: decision.Milliseconds,
+    ) {
+        const each = limit.ratePerSecond * windowMs / 1_000 / PARTS;
+        this.parts = new Array<number>(PARTS).fill(each);
+        this.sum = each * PARTS;
+        this.part = this.partAt(now);
     }
 
     charge(limit: QuotaLimit, cost: number, now: decision.Milliseconds): QuotaAnswer {
-        const refill = Math.max(0, now - this.at) / 1_000 * Math.min(limit.ratePerSecond, this.limit.ratePerSecond);
-        this.level = Math.min(limit.burst, this.level + refill);
-        this.limit = limit;
-        this.at = now;
-        // A request larger than the whole burst is granted from a full bucket: it could never run otherwise.
-        if (this.level >= Math.min(cost, limit.burst)) {
-            this.level -= cost;
+        this.forget(now);
+        this.adapt(limit);
+        const most = limit.ratePerSecond * this.windowMs / 1_000 + limit.burst;
+        // A request larger than the whole limit is granted from an unused window: it could never run otherwise.
+        const needed = Math.min(cost, most);
+        if (this.sum + needed <= most) {
+            this.parts[this.part % PARTS] = (this.parts[this.part % PARTS] as number) + cost;
+            this.sum += cost;
             return GRANTED;
         }
-        return { granted: false, waitMs: (Math.min(cost, limit.burst) - this.level) / limit.ratePerSecond * 1_000 };
+        return { granted: false, waitMs: this.waitFor(this.sum + needed - most) };
+    }
+
+    /** Under a lower limit, what the former one granted counts in proportion; else nothing would be granted for a window. */
+    private adapt(limit: QuotaLimit): void {
+        if (limit.ratePerSecond < this.limit.ratePerSecond) {
+            const ratio = limit.ratePerSecond / this.limit.ratePerSecond;
+            this.parts.forEach((part, index) => this.parts[index] = part * ratio);
+            this.sum *= ratio;
+        }
+        this.limit = limit;
+    }
+
+    private partAt(now: decision.Milliseconds): number {
+        return Math.floor(now / (this.windowMs / PARTS));
+    }
+
+    private forget(now: decision.Milliseconds): void {
+        const part = this.partAt(now);
+        for (let next = Math.max(this.part + 1, part - PARTS + 1); next <= part; next++) {
+            this.sum -= this.parts[next % PARTS] as number;
+            this.parts[next % PARTS] = 0;
+        }
+        this.part = Math.max(this.part, part);
+    }
+
+    /** Time until charges of the given sum have left the window. */
+    private waitFor(sum: number): decision.Milliseconds {
+        let left = sum;
+        for (let age = 1; age <= PARTS; age++) {
+            left -= this.parts[(this.part + age) % PARTS] as number;
+            if (left <= 0) {
+                return age * this.windowMs / PARTS;
+            }
+        }
+        return this.windowMs;
     }
 }
 
-/** Buckets by workspace: of the whole fleet at the workspace's owner, or of this host's part when the owner is silent. */
-export class QuotaBuckets {
-    private readonly buckets = new Map<string, Bucket>();
+/** Ledgers by workspace: of the whole fleet at the workspace's owner, or of this host's part when the owner is silent. */
+export class QuotaLedgers {
+    private readonly ledgers = new Map<string, Ledger>();
+
+    constructor(private readonly windowMs: decision.Milliseconds) {}
 
-    /** Charges a workspace. A limit that changed applies from this charge on. */
+    /**
+     * Charges a workspace: in each window, it is granted its rate times the window and its burst. A limit that changed
+     * applies from this charge on.
+     */
     charge(workspace: string, limit: QuotaLimit, cost: number, now: decision.Milliseconds): QuotaAnswer {
         if (limit.ratePerSecond <= 0) {
             return GRANTED;
         }
-        const bucket = this.buckets.get(workspace) ?? new Bucket(limit, now);
-        this.buckets.set(workspace, bucket);
-        return bucket.charge(limit, cost, now);
+        const ledger = this.ledgers.get(workspace) ?? new Ledger(limit, this.windowMs, now);
+        this.ledgers.set(workspace, ledger);
+        return ledger.charge(limit, cost, now);
     }
 }
 
--- a/packages/gateway/src/callerserver.ts
+++ b/packages/gateway/src/callerserver.ts
@@ -35,7 +35,7 @@
 /** Opens the port that callers use. */
 export async function openCallerServer(context: contexts.GatewayContext): Promise<CallerServer> {
     const models = new modelpaths.ModelPath(context);
-    let open = 0;
+    const open = new Set<http.ServerResponse>();
     let leaving = false;
     const server = http.createServer({
         maxHeaderSize: HEADER_LIMIT_BYTES,
@@ -46,13 +46,13 @@
     });
     const limits = () => context.knowledge.inForce()?.table.configuration.limits ?? FIRST_LIMITS;
     server.on("request", (request, response) => {
-        open++;
+        open.add(response);
         server.keepAliveTimeout = limits().idleTimeoutMs;
         if (leaving) {
-            response.shouldKeepAlive = false;
+            closeAfter(response);
         }
         response.on("error", () => undefined);
-        response.on("close", () => open--);
+        response.on("close", () => open.delete(response));
         void serve(context, models, limits(), request, response);
     });
     server.on("clientError", (error, socket) => {
@@ -68,9 +68,10 @@
         server.closeAllConnections();
     });
     return {
-        open: () => open,
+        open: () => open.size,
         leave: () => {
             leaving = true;
+            open.forEach(closeAfter);
         },
         closeIdle: () => {
             server.close();
@@ -79,6 +80,15 @@
     };
 }
 
+/** Closes the connection of an answer when the answer is out, so that no further request arrives on it. */
+function closeAfter(response: http.ServerResponse): void {
+    response.shouldKeepAlive = false;
+    if (response.headersSent) {
+        const { socket } = response;
+        response.on("finish", () => socket?.end());
+    }
+}
+
 async function serve(
     context: contexts.GatewayContext,
     models: modelpaths.ModelPath,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -56,8 +56,11 @@
     private readonly abortion = new AbortController();
     private readonly timer: NodeJS.Timeout;
     private finished = false;
+    private underWay: Step | undefined;
     /** Whether an upstream may have run the request. */
     mayHaveRun = false;
+    /** Pieces of a stream that were passed on. */
+    passedEvents = 0;
 
     constructor(
         readonly context: contexts.GatewayContext,
@@ -104,10 +107,16 @@
         return this.facts.promptTokens + this.facts.outputTokens;
     }
 
-    /** Notes a send for the log and the metrics. */
+    /** Notes that a send begins, so that a request that ends meanwhile names it. */
+    begin(call: string, upstream: string): void {
+        this.underWay = { call, upstream, result: "under way", startedMs: this.elapsedMs(), tookMs: 0 };
+    }
+
+    /** Notes how a send ended, for the log and the metrics. */
     step(call: string, upstream: string, result: string, startedAt: decision.Milliseconds): void {
         const { clock, metrics } = this.context;
         metrics.sends.inc({ service: this.service, call, result });
+        this.underWay = undefined;
         this.steps.push({
             call,
             upstream,
@@ -157,6 +166,10 @@
         this.context.answerRefusal(this.response, this.facts.requestId, refusal);
     }
 
+    private elapsedMs(): number {
+        return Math.round(this.context.clock() - this.startedAt);
+    }
+
     private timeOut(): void {
         this.refuse({ status: this.mayHaveRun ? 504 : 503, reason: FinalReason.TimedOut, retryAfterMs: 0 });
     }
@@ -169,6 +182,9 @@
 
     private finish(reason: FinalReason, status: number): void {
         this.finished = true;
+        if (this.underWay) {
+            this.steps.push(this.underWay);
+        }
         clearTimeout(this.timer);
         this.abortion.abort();
         this.context.logOutcome(this, reason, status);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,6 +67,7 @@
         listen: settings.peers,
         hosts: knowledge.hosts,
         quotaTolerance: settings.quotaTolerance,
+        quotaWindowMs: settings.quotaWindowMs,
         onCrash: (report) => {
             const crashes = suspects.add(report, clock());
             log.decision("content suspected", { ...report, crashes, source: "other host" });
@@ -160,7 +161,9 @@
         route: exchange.route.name,
         service: exchange.service,
         workspace: exchange.workspace?.name,
-        tokens: exchange.tokens,
+        promptTokens: exchange.facts.promptTokens,
+        outputTokens: exchange.facts.outputTokens,
+        passedEvents: exchange.passedEvents,
         outcome: reason,
         status,
         tookMs: Math.round(now - exchange.startedAt),
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -6,8 +6,8 @@
 import type * as ports from "./ports.js";
 import type * as pools from "./upstreampool.js";
 
-/** Period of listings of upstreams: with a lost answer, a departure is still known within two seconds. */
-const LISTING_PERIOD_MS = 800;
+/** Period of listings of upstreams: departures must be known within two seconds, and each call is billed. */
+const LISTING_PERIOD_MS = 1_000;
 /** Pause after a failed read of the store; also the pause between failed watches. */
 const RETRY_PAUSE_MS = 400;
 /** A pause between listings after which registrations may have lapsed: two beats of an upstream. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -58,6 +58,7 @@
     readonly listen: settings.ListenAddress;
     readonly hosts: () => readonly string[];
     readonly quotaTolerance: number;
+    readonly quotaWindowMs: decision.Milliseconds;
     readonly onCrash: (report: dispatch.CrashReport) => void;
 }
 
@@ -66,8 +67,8 @@
     const { clock, listen, log } = parts;
     const self = `${listen.address}:${listen.port}`;
     const socket = dgram.createSocket("udp4");
-    const owned = new dispatch.QuotaBuckets();
-    const alone = new dispatch.QuotaBuckets();
+    const owned = new dispatch.QuotaLedgers(parts.quotaWindowMs);
+    const alone = new dispatch.QuotaLedgers(parts.quotaWindowMs);
     const waiting = new Map<number, (answer: dispatch.QuotaAnswer) => void>();
     const silentUntil = new Map<string, decision.Milliseconds>();
     let lastId = 0;
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -51,6 +51,7 @@
 ): Promise<Sent> {
     const { context, request, facts } = exchange;
     const startedAt = context.clock();
+    exchange.begin(options.call, upstream.id);
     const forwarding: wires.Forwarding = {
         expectedUpstream: upstream.id,
         timeLeftMs: Math.max(SHORTEST_TIME_LEFT_MS, Math.floor(exchange.leftMs)),
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -21,5 +21,7 @@
     readonly stopPeriodMs: decision.Milliseconds;
     /** Units that a workspace may get beyond its limit while hosts cannot talk to each other. */
     readonly quotaTolerance: number;
+    /** Span over which a workspace's rate and burst are counted. */
+    readonly quotaWindowMs: decision.Milliseconds;
     readonly retries: dispatch.RetryTerms;
 }
--- a/packages/gateway/src/streamrelay.ts
+++ b/packages/gateway/src/streamrelay.ts
@@ -3,6 +3,7 @@
 import * as events from "./eventstream.js";
 import * as exchanges from "./exchange.js";
 import * as headers from "./headers.js";
+import * as calls from "./upstreamcall.js";
 
 /** How the relay of a stream ended. */
 export enum RelayEnd {
@@ -54,6 +55,7 @@
             if (whole) {
                 clearTimeout(timer);
                 timer = setTimeout(silent, silenceMs);
+                exchange.passedEvents++;
                 pass(whole);
                 progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
             }
@@ -68,7 +70,7 @@
                 resolve(RelayEnd.Over);
                 return;
             }
-            if (!source.complete || source.errored) {
+            if (!calls.isComplete(source)) {
                 resolve(RelayEnd.Broken);
                 return;
             }
--- a/packages/gateway/src/upstreamcall.ts
+++ b/packages/gateway/src/upstreamcall.ts
@@ -69,10 +69,12 @@
         const onAbort = () => stop("aborted");
         call.signal?.addEventListener("abort", onAbort);
         request.on("socket", (socket) => {
-            if (!socket.connecting) {
+            if (socket.connecting) {
+                socket.once("connect", () => connected = true);
+            }
+            else {
                 connected = true;
             }
-            socket.once("connect", () => connected = true);
         });
         request.on("error", (error) => reason ??= error.message);
         request.on("close", () => {
@@ -92,6 +94,9 @@
                 response.once("end", () => response.socket.destroy());
             }
             response.on("error", () => undefined);
+            if (!isFramed(response)) {
+                response.socket.once("end", () => endedByPeer.add(response));
+            }
             resolve({ progress: CallProgress.Head, response });
         });
         request.end(call.body);
@@ -107,6 +112,22 @@
     return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
+/** Answers without a length whose connection the upstream closed in order. */
+const endedByPeer = new WeakSet<http.IncomingMessage>();
+
+/** Whether the end of an answer's body can be told without the end of its connection. */
+function isFramed({ headers, statusCode }: http.IncomingMessage): boolean {
+    return headers["content-length"] !== undefined
+        || headers["transfer-encoding"] !== undefined
+        || statusCode === 204
+        || statusCode === 304;
+}
+
+/** Whether a closed answer is complete. One that ends with its connection is not if the connection was reset. */
+export function isComplete(response: http.IncomingMessage): boolean {
+    return response.complete && !response.errored && (isFramed(response) || endedByPeer.has(response));
+}
+
 /** Largest answer that is collected before it is passed on, in bytes. */
 const WHOLE_ANSWER_LIMIT_BYTES = 16 * 1_048_576;
 
@@ -128,7 +149,7 @@
         });
         response.on("close", () => {
             clearTimeout(timer);
-            resolve(response.complete && !response.errored ? Buffer.concat(pieces) : undefined);
+            resolve(isComplete(response) ? Buffer.concat(pieces) : undefined);
         });
     });
 }
