--- a/packages/dispatch/src/quota.ts
+++ b/packages/dispatch/src/quota.ts
@@ -4,26 +4,17 @@
 export interface QuotaLimit {
     readonly ratePerSecond: number;
     readonly burst: number;
-    /** Units beyond the limit that operators put up with in a window. */
-    readonly tolerance: number;
-}
-
-/** How a charge was taken. */
-export enum QuotaGrant {
-    Within = "within",
-    /** Beyond the limit and within the tolerance: to be served only from what no other needs. */
-    Beyond = "beyond",
-    Refused = "refused",
 }
 
 /** The answer to a charge. */
-export interface QuotaAnswer {
-    readonly grant: QuotaGrant;
-    /** Time until the charge would be within the limit. */
-    readonly waitMs: decision.Milliseconds;
-}
+export type QuotaAnswer =
+    | { readonly granted: true; }
+    | {
+        readonly granted: false; /** Time until the charge would be granted. */
+        readonly waitMs: decision.Milliseconds;
+    };
 
-const WITHIN: QuotaAnswer = { grant: QuotaGrant.Within, waitMs: 0 };
+const GRANTED: QuotaAnswer = { granted: true };
 
 /** Parts of the window by which charges are forgotten. */
 const PARTS = 40;
@@ -54,23 +45,12 @@
         const most = limit.ratePerSecond * this.windowMs / 1_000 + limit.burst;
         // A request larger than the whole limit is granted from an unused window: it could never run otherwise.
         const needed = Math.min(cost, most);
-        const beyond = this.sum + needed - most;
-        if (beyond > limit.tolerance) {
-            return { grant: QuotaGrant.Refused, waitMs: this.waitFor(beyond) };
+        if (this.sum + needed <= most) {
+            this.parts[this.part % PARTS] = (this.parts[this.part % PARTS] as number) + cost;
+            this.sum += cost;
+            return GRANTED;
         }
-        this.add(cost);
-        return beyond <= 0 ? WITHIN : { grant: QuotaGrant.Beyond, waitMs: this.waitFor(beyond) };
-    }
-
-    /** Gives a charge back whose request did not run. */
-    refund(cost: number, now: decision.Milliseconds): void {
-        this.forget(now);
-        this.add(-Math.min(cost, this.sum));
-    }
-
-    private add(cost: number): void {
-        this.parts[this.part % PARTS] = (this.parts[this.part % PARTS] as number) + cost;
-        this.sum += cost;
+        return { granted: false, waitMs: this.waitFor(this.sum + needed - most) };
     }
 
     /** Under a lower limit, what the former one granted counts in proportion; else nothing would be granted for a window. */
@@ -121,30 +101,22 @@
      */
     charge(workspace: string, limit: QuotaLimit, cost: number, now: decision.Milliseconds): QuotaAnswer {
         if (limit.ratePerSecond <= 0) {
-            return WITHIN;
+            return GRANTED;
         }
         const ledger = this.ledgers.get(workspace) ?? new Ledger(limit, this.windowMs, now);
         this.ledgers.set(workspace, ledger);
         return ledger.charge(limit, cost, now);
     }
-
-    /** Gives a charge back whose request did not run. */
-    refund(workspace: string, cost: number, now: decision.Milliseconds): void {
-        this.ledgers.get(workspace)?.refund(cost, now);
-    }
 }
 
-/** Part of the limit that hosts use while the workspace's owner is silent: it may still grant to other hosts. */
+/** Share of a workspace's rate that hosts use while its owner is silent: owners may still grant to other hosts. */
 const CUT_OFF_SHARE = 0.8;
-/** Part of the tolerance that hosts use then; the rest covers what the owner grants. */
-const CUT_OFF_TOLERANCE = 0.5;
 
 /** What one host may grant by itself while the owner of the workspace is silent. */
-export function cutOffLimit(limit: QuotaLimit, hosts: number): QuotaLimit {
+export function cutOffLimit(limit: QuotaLimit, tolerance: number, hosts: number): QuotaLimit {
     const count = Math.max(1, hosts);
     return {
         ratePerSecond: limit.ratePerSecond * CUT_OFF_SHARE / count,
-        burst: (limit.burst * CUT_OFF_SHARE + limit.tolerance * CUT_OFF_TOLERANCE) / count,
-        tolerance: 0,
+        burst: (limit.burst + tolerance / 2) / count,
     };
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -61,8 +61,6 @@
     private underWay: Step | undefined;
     /** Whether an upstream may have run the request. */
     mayHaveRun = false;
-    /** Set if the request is beyond its workspace's limit and may be served only from what no other needs. */
-    spare: { readonly cost: number; readonly waitMs: decision.Milliseconds; } | undefined;
     /** Pieces of a stream that were passed on. */
     passedEvents = 0;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,6 +66,7 @@
         log,
         listen: settings.peers,
         hosts: knowledge.hosts,
+        quotaTolerance: settings.quotaTolerance,
         quotaWindowMs: settings.quotaWindowMs,
         onCrash: (report) => {
             const crashes = suspects.add(report, clock());
--- a/packages/gateway/src/modelpath.ts
+++ b/packages/gateway/src/modelpath.ts
@@ -1,7 +1,6 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
-import * as charging from "./charging.js";
 import type * as contexts from "./context.js";
 import * as exchanges from "./exchange.js";
 import * as headers from "./headers.js";
@@ -191,10 +190,6 @@
     }
 
     private refuseForRoom(exchange: exchanges.Exchange, why: room.NoRoom): void {
-        if (why === room.NoRoom.NoneSpare && !exchange.mayHaveRun) {
-            charging.refuseSpare(exchange);
-            return;
-        }
         const retryAfterMs = why === room.NoRoom.NoEngine
             ? NO_ENGINE_RETURN_MS * (0.5 + this.context.random())
             : this.queueOf(exchange.service).returnAfterMs(this.context.random());
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -10,8 +10,6 @@
     /** Asks the owner of a workspace's bucket for a charge. */
     Charge = "charge",
     Charged = "charged",
-    /** Gives a charge back to the owner. */
-    Refund = "refund",
     /** Tells contents that were running when upstreams went down. */
     Crashes = "crashes",
 }
@@ -25,7 +23,6 @@
         readonly cost: number;
     }
     | { readonly kind: MessageKind.Charged; readonly id: number; readonly answer: dispatch.QuotaAnswer; }
-    | { readonly kind: MessageKind.Refund; readonly workspace: string; readonly cost: number; }
     | { readonly kind: MessageKind.Crashes; readonly reports: readonly dispatch.CrashReport[]; };
 
 /** Time after which a charge is asked for once more: hosts are a millisecond apart. */
@@ -49,8 +46,6 @@
         limit: dispatch.QuotaLimit,
         cost: number,
     ) => Promise<{ readonly answer: dispatch.QuotaAnswer; readonly decidedBy: string; }>;
-    /** Gives a charge back whose request did not run. It is lost if the owner is silent: the window forgets the charge. */
-    readonly refund: (workspace: string, cost: number) => void;
     /** Tells all hosts of contents that were running when an upstream went down. */
     readonly tellCrashes: (reports: readonly dispatch.CrashReport[]) => void;
 }
@@ -62,6 +57,7 @@
     readonly log: logs.DecisionLog;
     readonly listen: settings.ListenAddress;
     readonly hosts: () => readonly string[];
+    readonly quotaTolerance: number;
     readonly quotaWindowMs: decision.Milliseconds;
     readonly onCrash: (report: dispatch.CrashReport) => void;
 }
@@ -93,9 +89,6 @@
                 send({ kind: MessageKind.Charged, id: message.id, answer }, `${from.address}:${from.port}`);
                 return;
             }
-            case MessageKind.Refund:
-                owned.refund(message.workspace, message.cost, clock());
-                return;
             case MessageKind.Charged:
                 waiting.get(message.id)?.(message.answer);
                 return;
@@ -131,7 +124,7 @@
     const chargeAlone = (workspace: string, limit: dispatch.QuotaLimit, cost: number) =>
         alone.charge(
             workspace,
-            dispatch.cutOffLimit(limit, parts.hosts().length),
+            dispatch.cutOffLimit(limit, parts.quotaTolerance, parts.hosts().length),
             cost,
             clock(),
         );
@@ -151,15 +144,6 @@
             }
             return { answer: chargeAlone(workspace, limit, cost), decidedBy: "own part" };
         },
-        refund: (workspace, cost) => {
-            const owner = dispatch.ownerOf(parts.hosts(), workspace) ?? self;
-            if (owner === self) {
-                owned.refund(workspace, cost, clock());
-            }
-            else {
-                send({ kind: MessageKind.Refund, workspace, cost }, owner);
-            }
-        },
         tellCrashes: (reports) => {
             const tell = () => {
                 for (const host of parts.hosts().filter((address) => address !== self)) {
--- a/packages/gateway/src/reservation.ts
+++ b/packages/gateway/src/reservation.ts
@@ -26,8 +26,6 @@
 export enum NoRoom {
     /** Every engine that was asked is full. */
     Full = "full",
-    /** The request is to be served from spare room only, and there is none. */
-    NoneSpare = "noneSpare",
     /** There is no engine that could be asked. */
     NoEngine = "noEngine",
     /** The wait was given up. */
@@ -45,9 +43,6 @@
             return reservation;
         }
     }
-    if (exchange.spare) {
-        return NoRoom.NoneSpare;
-    }
     const id = queue.enter(exchange);
     if (id === undefined) {
         return NoRoom.Full;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -19,8 +19,8 @@
     readonly peers: ListenAddress;
     /** Time from SIGTERM until the process is killed. */
     readonly stopPeriodMs: decision.Milliseconds;
-    /** What operators put up with beyond a workspace's limit in a window: a share of the limit, and units on top. */
-    readonly quotaTolerance: { readonly share: number; readonly units: number; };
+    /** Units that a workspace may get beyond its limit while hosts cannot talk to each other. */
+    readonly quotaTolerance: number;
     /** Span over which a workspace's rate and burst are counted. */
     readonly quotaWindowMs: decision.Milliseconds;
     readonly retries: dispatch.RetryTerms;
