--- a/packages/dispatch/src/waitingroom.ts
+++ b/packages/dispatch/src/waitingroom.ts
@@ -63,19 +63,9 @@
         return now + this.terms.serviceMs <= waiter.targetAt;
     }
 
-    /** Whether waiters that can still be on time go before a newcomer. */
-    crowded(now: decision.Milliseconds): boolean {
-        return this.some((waiter) => this.onTime(waiter, now));
-    }
-
-    /** The waiters that go first of those that can still be on time, at most the given number. */
+    /** The waiters that go first, at most the given number. */
     first(count: number, now: decision.Milliseconds): Waiter[] {
-        return this.ordered((waiter) => this.onTime(waiter, now)).slice(0, count);
-    }
-
-    /** The waiter that goes first of those that missed their target. */
-    firstLate(now: decision.Milliseconds): Waiter | undefined {
-        return this.ordered((waiter) => !this.onTime(waiter, now))[0];
+        return [...this.waiters.values()].sort((one, other) => this.compare(one, other, now)).slice(0, count);
     }
 
     /** The waiters whose wait is vain by now. */
@@ -100,18 +90,9 @@
         return Math.max(SHORTEST_RETURN_MS, this.waiters.size / perMs) * (1 + fraction);
     }
 
-    private some(matches: (waiter: Waiter) => boolean): boolean {
-        for (const waiter of this.waiters.values()) {
-            if (matches(waiter)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private ordered(matches: (waiter: Waiter) => boolean): Waiter[] {
-        return [...this.waiters.values()]
-            .filter(matches)
-            .sort((one, other) => one.priority - other.priority || one.targetAt - other.targetAt);
+    private compare(one: Waiter, other: Waiter, now: decision.Milliseconds): number {
+        const oneLate = this.onTime(one, now) ? 0 : 1;
+        const otherLate = this.onTime(other, now) ? 0 : 1;
+        return oneLate - otherLate || one.priority - other.priority || one.targetAt - other.targetAt;
     }
 }
--- a/packages/gateway/src/roomqueue.ts
+++ b/packages/gateway/src/roomqueue.ts
@@ -9,13 +9,8 @@
 const TRIES_A_PERIOD = 2;
 /** Time from room at an engine to the first event of a mean request: a prefill and a first step. */
 const SERVICE_MS = 220;
-/**
- * Period in which one of the waiters that missed their target tries. Those that can be on time try six times as often, on
- * every host, so late ones find room only when there is plenty.
- */
-const LATE_TRY_PERIOD_MS = 240;
-/** How long requests that missed their target still wait: callers give a stream up some seconds after its target. */
-const LATE_WAIT_MS = 2_200;
+/** How long requests that missed their target still wait for memory that no other needs. */
+const LATE_WAIT_MS = 1_500;
 /** Requests that wait on one host; their bodies are held in its memory. */
 const CAPACITY = 256;
 
@@ -37,12 +32,11 @@
 
     constructor(scope: lifecycle.Lifecycle, private readonly clock: decision.Clock) {
         lifecycle.every(scope, TRY_PERIOD_MS, () => this.pump(TRIES_A_PERIOD));
-        lifecycle.every(scope, LATE_TRY_PERIOD_MS, () => this.pumpLate());
     }
 
     /** Whether others wait that go before a newcomer. */
     get busy(): boolean {
-        return this.room.crowded(this.clock());
+        return this.room.size > 0;
     }
 
     /** Takes an exchange in. Undefined if the room is full. */
@@ -103,11 +97,4 @@
             this.wakers.get(waiter.id)?.(Turn.Try);
         }
     }
-
-    private pumpLate(): void {
-        const waiter = this.room.firstLate(this.clock());
-        if (waiter) {
-            this.wakers.get(waiter.id)?.(Turn.Try);
-        }
-    }
 }
