--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import type * as ports from "./ports.js";
 import type * as settings from "./settings.js";
 import * as sideports from "./sideports.js";
+import * as stageOrders from "./stageorders.js";
 import * as agents from "./upstreamagent.js";
 import * as pools from "./upstreampool.js";
 import type * as wires from "./wire.js";
@@ -50,12 +51,13 @@
     const agent = new agents.UpstreamAgent(() => measured.connections.inc());
     const pool = new pools.UpstreamPool((incarnation) => agent.forget(incarnation));
     const suspects = new dispatch.Suspects();
+    const reads = registry((key, problem) => log.decision("registration not readable", { key, problem }));
     const knowledge = knowledges.keepKnowledge({
         scope,
         clock,
         log,
         metrics: measured,
-        registry: registry((key, problem) => log.decision("registration not readable", { key, problem })),
+        registry: reads,
         pool,
         host: settings.host,
         address: `${settings.peers.address}:${settings.peers.port}`,
@@ -77,6 +79,7 @@
         scope,
         settings,
         clock,
+        timeOfDay: Date.now,
         random,
         log,
         metrics: measured,
@@ -92,7 +95,7 @@
         logOutcome: (exchange, reason, status) => logOutcome(context, exchange, reason, status),
     };
     let stopping = false;
-    const callers = await callerservers.openCallerServer(context);
+    const callers = await callerservers.openCallerServer(context, new stageOrders.StageOrders(context, reads));
     await sideports.openReadiness(
         scope,
         settings.readiness,
