--- a/packages/dispatch/src/stagebalance.ts
+++ b/packages/dispatch/src/stagebalance.ts
@@ -21,7 +21,7 @@
  * How busy prefill engines may be when the decode engines are full. Hosts place prefills without knowing of each other's,
  * so prompts queue long before all engines are busy.
  */
-const PREFILL_UTILIZATION = 0.7;
+const PREFILL_UTILIZATION = 0.85;
 /** Part of an engine's memory that requests fill; the rest is lost to their uneven sizes. */
 const MEMORY_UTILIZATION = 0.92;
 /** Engines that each stage keeps: one of them may crash. */
@@ -58,6 +58,5 @@
     if (prefill.length > wanted) {
         return { upstream: idlest(prefill), stage: routing.EngineStage.Decode };
     }
-    // Giving memory back is for a lasting shift only: one engine less may be a crash that passes.
-    return prefill.length < wanted - 1 ? { upstream: idlest(decode), stage: routing.EngineStage.Prefill } : undefined;
+    return undefined;
 }
--- a/packages/gateway/src/stageorders.ts
+++ b/packages/gateway/src/stageorders.ts
@@ -14,7 +14,7 @@
 /** Time for an engine to accept an order. */
 const ORDER_TIMEOUT_MS = 500;
 /** Requests from which the demand is known. */
-const LEAST_REQUESTS = 4;
+const LEAST_REQUESTS = 14;
 
 /** What a service's requests cost, averaged. */
 interface MeasuredDemand {
@@ -25,7 +25,7 @@
 }
 
 /** Weight of the newest request in the averages. */
-const DEMAND_WEIGHT = 0.1;
+const DEMAND_WEIGHT = 0.05;
 
 /**
  * Orders engines to another stage when one pool binds while the other has engines to spare. One host gives orders at a
