--- a/packages/gateway/src/callerserver.ts
+++ b/packages/gateway/src/callerserver.ts
@@ -6,7 +6,6 @@
 import * as exchanges from "./exchange.js";
 import * as modelpaths from "./modelpath.js";
 import * as plainpath from "./plainpath.js";
-import type * as stageOrders from "./stageorders.js";
 import type * as wires from "./wire.js";
 
 /** Longest head of a request that is read at all; the configuration's limit is checked on what was read. */
@@ -34,11 +33,8 @@
 }
 
 /** Opens the port that callers use. */
-export async function openCallerServer(
-    context: contexts.GatewayContext,
-    orders: stageOrders.StageOrders,
-): Promise<CallerServer> {
-    const models = new modelpaths.ModelPath(context, orders);
+export async function openCallerServer(context: contexts.GatewayContext): Promise<CallerServer> {
+    const models = new modelpaths.ModelPath(context);
     const open = new Set<http.ServerResponse>();
     let leaving = false;
     const server = http.createServer({
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -17,8 +17,6 @@
     readonly scope: lifecycle.Lifecycle;
     readonly settings: settings.GatewaySettings;
     readonly clock: decision.Clock;
-    /** Time of day in Unix milliseconds; it may jump. */
-    readonly timeOfDay: () => decision.Milliseconds;
     /** Draws from 0 (included) to 1 (excluded). */
     readonly random: () => number;
     readonly log: logs.DecisionLog;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,6 @@
 import type * as ports from "./ports.js";
 import type * as settings from "./settings.js";
 import * as sideports from "./sideports.js";
-import * as stageOrders from "./stageorders.js";
 import * as agents from "./upstreamagent.js";
 import * as pools from "./upstreampool.js";
 import type * as wires from "./wire.js";
@@ -51,13 +50,12 @@
     const agent = new agents.UpstreamAgent(() => measured.connections.inc());
     const pool = new pools.UpstreamPool((incarnation) => agent.forget(incarnation));
     const suspects = new dispatch.Suspects();
-    const reads = registry((key, problem) => log.decision("registration not readable", { key, problem }));
     const knowledge = knowledges.keepKnowledge({
         scope,
         clock,
         log,
         metrics: measured,
-        registry: reads,
+        registry: registry((key, problem) => log.decision("registration not readable", { key, problem })),
         pool,
         host: settings.host,
         address: `${settings.peers.address}:${settings.peers.port}`,
@@ -79,7 +77,6 @@
         scope,
         settings,
         clock,
-        timeOfDay: Date.now,
         random,
         log,
         metrics: measured,
@@ -95,7 +92,7 @@
         logOutcome: (exchange, reason, status) => logOutcome(context, exchange, reason, status),
     };
     let stopping = false;
-    const callers = await callerservers.openCallerServer(context, new stageOrders.StageOrders(context, reads));
+    const callers = await callerservers.openCallerServer(context);
     await sideports.openReadiness(
         scope,
         settings.readiness,
--- a/packages/gateway/src/modelpath.ts
+++ b/packages/gateway/src/modelpath.ts
@@ -8,7 +8,6 @@
 import * as room from "./reservation.js";
 import * as roomqueues from "./roomqueue.js";
 import * as sends from "./send.js";
-import type * as stageOrders from "./stageorders.js";
 import * as relays from "./streamrelay.js";
 import * as calls from "./upstreamcall.js";
 
@@ -32,10 +31,7 @@
     private readonly prefills = new prefills.Prefills();
     private readonly queues = new Map<string, roomqueues.RoomQueue>();
 
-    constructor(
-        private readonly context: contexts.GatewayContext,
-        private readonly orders: stageOrders.StageOrders,
-    ) {}
+    constructor(private readonly context: contexts.GatewayContext) {}
 
     /** Serves one request: room at a decode engine, prefill, decode; again elsewhere as far as route and budget allow. */
     async serve(exchange: exchanges.Exchange): Promise<void> {
@@ -153,12 +149,10 @@
             response.destroy();
             return dispatch.SendEffect.MayHaveRun;
         }
-        const startedAt = this.context.clock();
         const end = await relays.relayEvents(exchange, response, progress, silenceMs);
         if (end === relays.RelayEnd.Complete) {
             this.context.suspects.clear(exchange.content);
             this.learnOutput(exchange);
-            this.learnDemand(exchange, this.context.clock() - startedAt);
         }
         if (end !== relays.RelayEnd.Broken) {
             return undefined;
@@ -169,13 +163,6 @@
         return dispatch.SendEffect.MayHaveRun;
     }
 
-    private learnDemand(exchange: exchanges.Exchange, decodeMs: decision.Milliseconds): void {
-        const prefillMs = this.prefills.quietMs(exchange);
-        if (prefillMs !== undefined) {
-            this.orders.learn(exchange.service, { prefillMs, decodeMs, tokens: exchange.tokens });
-        }
-    }
-
     private learnOutput({ service, passedEvents }: exchanges.Exchange): void {
         const engine = this.context.knowledge.inForce()?.table.serviceByName.get(service)?.engine;
         this.context.outputs.learn(service, passedEvents * (engine?.tokensAnEvent ?? 1));
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -13,27 +13,6 @@
     readonly announceHost: (host: string, address: string) => Promise<decision.Outcome<undefined>>;
     /** Ends this host's registration. */
     readonly withdrawHost: () => Promise<decision.Outcome<undefined>>;
-    /** Addresses of the hosts that are registered; they may be seconds old. */
+    /** Addresses of the hosts that are registered. */
     readonly listHosts: () => Promise<decision.Outcome<readonly string[]>>;
-    /** The registrations of all hosts as they are now. */
-    readonly readRegistrations: () => Promise<decision.Outcome<readonly HostRegistration[]>>;
-    /** This host's registration as of its last renewal; undefined before the first. */
-    readonly registration: () => OwnRegistration | undefined;
-}
-
-/** A host's registration in the store. */
-export interface HostRegistration {
-    readonly address: string;
-    /** Grows with each registration in the fleet, so it also serves as a fencing number. */
-    readonly revision: number;
-}
-
-/** This host's own registration. */
-export interface OwnRegistration {
-    /** How long the store keeps a registration after a renewal was sent. */
-    readonly lifeMs: decision.Milliseconds;
-    /** When the last renewal that succeeded was sent, on the monotonic clock. */
-    readonly renewedAt: decision.Milliseconds;
-    /** The same moment as time of day, which goes on while the machine is suspended. */
-    readonly renewedAtTimeOfDay: decision.Milliseconds;
 }
--- a/packages/gateway/src/prefill.ts
+++ b/packages/gateway/src/prefill.ts
@@ -1,7 +1,6 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
-import * as engineCalls from "./enginecall.js";
 import type * as exchanges from "./exchange.js";
 import type * as reservations from "./reservation.js";
 import * as room from "./reservation.js";
@@ -17,8 +16,6 @@
 const QUEUE_ALLOWANCE_MS = 500;
 /** Weight of the newest prefill in the mean time for a token. */
 const SPEED_WEIGHT = 0.1;
-/** Rise of the least time for a token with each prefill, so that it follows engines that turn slow. */
-const QUIET_RISE = 1.01;
 /** Sends in flight that another availability zone must save: moving memory between zones takes twice as long. */
 const ZONE_PENALTY = 0.5;
 /** Time for the engine to free a handle. */
@@ -35,8 +32,6 @@
 export class Prefills {
     /** Mean time for a token by service. */
     private readonly msPerToken = new Map<string, number>();
-    /** Time for a token when nothing else is read, by service: the least that was seen, rising slowly. */
-    private readonly quietMsPerToken = new Map<string, number>();
 
     /** Has the prompt of an exchange read. Undefined if no engine did. */
     async prefill(exchange: exchanges.Exchange, decoder: routing.Upstream): Promise<Prefilled | undefined> {
@@ -62,12 +57,6 @@
         return undefined;
     }
 
-    /** Time that an engine with nothing else to do reads the prompt of an exchange for; undefined if it is not known. */
-    quietMs({ service, facts }: exchanges.Exchange): decision.Milliseconds | undefined {
-        const quiet = this.quietMsPerToken.get(service);
-        return quiet === undefined ? undefined : quiet * facts.promptTokens;
-    }
-
     private async prefillAt(
         exchange: exchanges.Exchange,
         candidate: dispatch.Candidate,
@@ -86,7 +75,7 @@
             }
             const body = await calls.readWhole(sent.response, Math.min(exchange.leftMs, QUEUE_ALLOWANCE_MS));
             const handle = body && sent.response.statusCode === 200
-                ? context.wire.readPrefill(engineCalls.parseJson(body))
+                ? context.wire.readPrefill(sends.parseJson(body))
                 : undefined;
             if (handle === undefined) {
                 return undefined;
@@ -109,8 +98,6 @@
 
     private learn(service: string, candidate: dispatch.Candidate, msPerToken: number): void {
         const mean = this.msPerToken.get(service) ?? msPerToken;
-        const quiet = (this.quietMsPerToken.get(service) ?? msPerToken) * QUIET_RISE;
-        this.quietMsPerToken.set(service, Math.min(quiet, msPerToken));
         candidate.health.recordSlowness(msPerToken / mean);
         this.msPerToken.set(service, mean * (1 - SPEED_WEIGHT) + Math.min(msPerToken, mean * 3) * SPEED_WEIGHT);
     }
@@ -123,7 +110,7 @@
         exchange,
         prefilled.candidate,
         call.path,
-        () => engineCalls.callEngine(exchange.context, prefilled.candidate.upstream, call, RELEASE_TIMEOUT_MS),
+        () => sends.callEngine(exchange, prefilled.candidate, call, RELEASE_TIMEOUT_MS, undefined),
     );
 }
 
--- a/packages/gateway/src/reservation.ts
+++ b/packages/gateway/src/reservation.ts
@@ -1,10 +1,10 @@
 import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
-import * as engineCalls from "./enginecall.js";
 import type * as exchanges from "./exchange.js";
 import type * as roomqueues from "./roomqueue.js";
 import * as rooms from "./roomqueue.js";
+import * as sends from "./send.js";
 
 /** Engines asked for room in one try: enough to find it among many, few enough for a try to take milliseconds. */
 const ENGINES_A_TRY = 4;
@@ -111,7 +111,7 @@
     const { context } = exchange;
     const startedAt = context.clock();
     const call = context.wire.reserve(exchange.tokens, lifeMs);
-    const outcome = await engineCalls.callEngine(exchange.context, candidate.upstream, call, RESERVE_TIMEOUT_MS);
+    const outcome = await sends.callEngine(exchange, candidate, call, RESERVE_TIMEOUT_MS, undefined);
     const now = context.clock();
     if (outcome.effect !== decision.Effect.Known) {
         candidate.health.record(dispatch.SendResult.Unreachable, now);
@@ -139,7 +139,7 @@
             exchange,
             reservation.candidate,
             call.path,
-            () => engineCalls.callEngine(exchange.context, reservation.candidate.upstream, call, RESERVE_TIMEOUT_MS),
+            () => sends.callEngine(exchange, reservation.candidate, call, RESERVE_TIMEOUT_MS, undefined),
         );
     }
 }
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -136,3 +136,50 @@
         health.record(dispatch.SendResult.Unreachable, now);
     }
 }
+
+/** Makes a call to an engine beside requests, such as a reservation. The outcome's value is the parsed body. */
+export async function callEngine(
+    exchange: exchanges.Exchange,
+    { upstream }: dispatch.Candidate,
+    call: wires.EngineCall,
+    timeoutMs: decision.Milliseconds,
+    signal: AbortSignal | undefined,
+): Promise<decision.Outcome<{ readonly status: number; readonly body: unknown; }>> {
+    const { context } = exchange;
+    const body = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
+    const head = await calls.openCall(context.agent, {
+        upstream,
+        incarnation: routing.incarnationOf(upstream),
+        method: call.method,
+        path: call.path,
+        headers: [
+            "Host",
+            upstream.address,
+            ...context.wire.callHeaders(upstream.id),
+            ...(body ? ["Content-Type", "application/json"] : []),
+        ],
+        body,
+        headTimeoutMs: timeoutMs,
+        signal,
+    });
+    if (head.progress !== calls.CallProgress.Head) {
+        return head.progress === calls.CallProgress.NotSent
+            ? decision.noEffect(head.reason)
+            : decision.unknownEffect(head.reason);
+    }
+    const bytes = await calls.readWhole(head.response, timeoutMs);
+    if (!bytes) {
+        return decision.unknownEffect("answer broken off");
+    }
+    return decision.known({ status: head.response.statusCode ?? 0, body: parseJson(bytes) });
+}
+
+/** Parses JSON; undefined if it is none. */
+export function parseJson(bytes: Buffer): unknown {
+    try {
+        return JSON.parse(bytes.toString("utf8"));
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -23,7 +23,5 @@
     readonly quotaTolerance: number;
     /** Span over which a workspace's rate and burst are counted. */
     readonly quotaWindowMs: decision.Milliseconds;
-    /** Time between the orders of two hosts. */
-    readonly orderTurnMs: decision.Milliseconds;
     readonly retries: dispatch.RetryTerms;
 }
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -1,5 +1,4 @@
 import type * as decision from "@citronlead/decision";
-import type * as routing from "@citronlead/routing";
 import type * as http from "node:http";
 
 /** What a caller's request says of itself. */
@@ -48,15 +47,6 @@
     readonly body: unknown;
 }
 
-/** An order to change the stage of an engine. */
-export interface StageOrder {
-    readonly stage: routing.EngineStage.Prefill | routing.EngineStage.Decode;
-    /** The host that gives the order. */
-    readonly holder: string;
-    /** Grows with each holder. */
-    readonly fencingNumber: number;
-}
-
 /** Names and formats that callers and upstreams speak. */
 export interface Wire {
     readonly readCaller: (headers: http.IncomingHttpHeaders) => CallerFacts;
@@ -79,8 +69,6 @@
     readonly readReservation: (body: unknown) => string | undefined;
     readonly releaseReservation: (reservation: string) => EngineCall;
     readonly releasePrefill: (handle: string) => EngineCall;
-    /** Orders an engine to another stage. */
-    readonly orderStage: (order: StageOrder) => EngineCall;
     /** Path at which the platform's balancer asks whether the host takes connections. */
     readonly readyPath: string;
 }
