--- /dev/null
+++ b/packages/dispatch/test/retrybudget.test.ts
@@ -0,0 +1,43 @@
+import * as chai from "chai";
+import * as fastCheck from "fast-check";
+import * as dispatch from "../src/index.js";
+
+const TERMS: dispatch.RetryTerms = { ratio: 0.2, extra: 58, windowMs: 10_000 };
+const HOSTS = 9;
+
+describe("RetryBudget", () => {
+    it("keeps all hosts together within the fleet's bound, however requests are spread", () => {
+        const events = fastCheck.array(
+            fastCheck.record({ host: fastCheck.nat(HOSTS - 1), pauseMs: fastCheck.nat(50), extras: fastCheck.nat(4) }),
+            { maxLength: 400 },
+        );
+        fastCheck.assert(fastCheck.property(events, (list) => {
+            const budgets = Array.from({ length: HOSTS }, () => new dispatch.RetryBudget(TERMS));
+            const requests: number[] = [];
+            const extras: number[] = [];
+            let now = 0;
+            for (const event of list) {
+                now += event.pauseMs;
+                const budget = budgets[event.host] as dispatch.RetryBudget;
+                budget.countRequest("counter", now);
+                requests.push(now);
+                for (let extra = 0; extra < event.extras; extra++) {
+                    if (budget.take("counter", HOSTS, now)) {
+                        extras.push(now);
+                    }
+                }
+            }
+            const recent = (times: number[]) => times.filter((at) => at >= now - TERMS.windowMs).length;
+            chai.expect(recent(extras)).to.be.at.most(TERMS.ratio * recent(requests) + TERMS.extra);
+        }));
+    });
+
+    it("has room again once former sends have left the window", () => {
+        const budget = new dispatch.RetryBudget(TERMS);
+        while (budget.take("counter", HOSTS, 0)) {
+            // Uses the budget up.
+        }
+        chai.expect(budget.left("counter", HOSTS, 9_000)).to.equal(0);
+        chai.expect(budget.left("counter", HOSTS, 10_001)).to.be.above(0);
+    });
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,6 +48,7 @@
     const identity = { host: settings.host, availabilityZone: settings.availabilityZone, pid: process.pid };
     const log = logs.makeDecisionLog(identity, clock, () => measured.droppedLogLines.inc());
     const agent = new agents.UpstreamAgent(() => measured.connections.inc());
+    scope.own(() => agent.destroy());
     const pool = new pools.UpstreamPool((incarnation) => agent.forget(incarnation));
     const suspects = new dispatch.Suspects();
     const knowledge = knowledges.keepKnowledge({
--- /dev/null
+++ b/packages/gateway/test/eventstream.test.ts
@@ -0,0 +1,31 @@
+import * as chai from "chai";
+import * as fastCheck from "fast-check";
+import * as events from "../src/eventstream.js";
+
+describe("EventSplitter", () => {
+    const stream = "id: 1\ndata: a\n\ndata: no id\n\nid: 22\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+
+    it("gives whole events however the bytes are cut", () => {
+        const cuts = fastCheck.array(fastCheck.integer({ min: 1, max: 9 }), { minLength: 80, maxLength: 80 });
+        fastCheck.assert(fastCheck.property(cuts, (sizes) => {
+            const splitter = new events.EventSplitter();
+            let at = 0;
+            let given = "";
+            for (const size of sizes) {
+                const whole = splitter.push(Buffer.from(stream.slice(at, at + size)))?.toString() ?? "";
+                chai.expect(whole === "" || /\n\r?\n$/.test(whole)).to.equal(true);
+                given += whole;
+                at += size;
+            }
+            chai.expect(given + splitter.remainder.toString()).to.equal(stream);
+            chai.expect(splitter.lastEventId).to.equal("3");
+        }));
+    });
+
+    it("knows the id of the last whole event and not of one that was cut", () => {
+        const splitter = new events.EventSplitter();
+        splitter.push(Buffer.from("id: 7\ndata: a\n\nid: 8\nda"));
+        chai.expect(splitter.lastEventId).to.equal("7");
+        chai.expect(splitter.remainder.toString()).to.equal("id: 8\nda");
+    });
+});
--- /dev/null
+++ b/packages/gateway/test/fixture.ts
@@ -0,0 +1,308 @@
+import * as decision from "@citronlead/decision";
+import * as lifecycle from "@citronlead/lifecycle";
+import * as routing from "@citronlead/routing";
+import * as testing from "@citronlead/testing";
+import * as http from "node:http";
+import * as net from "node:net";
+import * as gateway from "../src/index.js";
+
+/** Headers that only the gateway sets, in the wire of these tests. */
+const SYSTEM_HEADERS: ReadonlySet<string> = new Set([
+    "key",
+    "time-left",
+    "workspace",
+    "upstream-id",
+    "stage",
+    "source",
+    "reservation",
+]);
+
+const text = (value: string | string[] | undefined) => Array.isArray(value) ? value[0] : value;
+const numeric = (value: string | string[] | undefined) => value === undefined ? undefined : Number(value);
+
+/** A wire with short names of its own: the gateway knows no platform's. */
+export const wire: gateway.Wire = {
+    readCaller: (headers) => ({
+        requestId: text(headers["request-id"]),
+        key: text(headers["key"]),
+        patienceMs: numeric(headers["patience"]),
+        promptTokens: numeric(headers["prompt-tokens"]) ?? 0,
+        outputTokens: numeric(headers["output-tokens"]) ?? 0,
+        estimatedOutputTokens: undefined,
+        lastEventId: text(headers["last-event-id"]),
+    }),
+    upstreamHeaders: (callerHeaders, forwarding) => {
+        const added: [string, string | undefined][] = [
+            ["time-left", String(forwarding.timeLeftMs)],
+            ["upstream-id", forwarding.expectedUpstream],
+            ["workspace", forwarding.workspace],
+            ["stage", forwarding.prefillOnly ? "prefill" : undefined],
+            ["source", forwarding.prefillSource],
+            ["reservation", forwarding.reservation],
+            ["last-event-id", forwarding.resumeAfter],
+        ];
+        const headers = gateway.endToEndHeaders(callerHeaders, SYSTEM_HEADERS);
+        added.forEach(([name, value]) => value !== undefined && headers.push(name, value));
+        return headers;
+    },
+    readAnswer: (headers) => ({
+        requestId: text(headers["request-id"]),
+        signed: headers["signature"] !== undefined,
+        notRun: headers["not-run"] !== undefined,
+    }),
+    refusalHeaders: (requestId, retryAfterMs) => [
+        ...(requestId === undefined ? [] : ["request-id", requestId]),
+        ...(retryAfterMs === undefined ? [] : ["retry-after", String(retryAfterMs)]),
+    ],
+    callHeaders: (expectedUpstream) => ["upstream-id", expectedUpstream],
+    readPrefill: (body) => (body as { handle?: string; } | undefined)?.handle,
+    prefillSource: (address, handle) => `${address}/${handle}`,
+    reserve: (tokens, lifeMs) => ({ method: "POST", path: "/reserve", body: { tokens, lifeMs } }),
+    readReservation: (body) => (body as { id?: string; } | undefined)?.id,
+    releaseReservation: (reservation) => ({ method: "DELETE", path: `/reserve/${reservation}`, body: undefined }),
+    releasePrefill: (handle) => ({ method: "DELETE", path: `/prefill/${handle}`, body: undefined }),
+    readyPath: "/ready",
+};
+
+/** A request as an upstream got it. */
+export interface Received {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: http.IncomingHttpHeaders;
+    readonly body: string;
+}
+
+/** How a stand-in answers. */
+export type Behaviour = (received: Received, response: http.ServerResponse, request: http.IncomingMessage) => void;
+
+/** A stand-in of an upstream that does as it is told and remembers what it got. */
+export interface StandIn {
+    readonly upstream: routing.Upstream;
+    readonly received: Received[];
+    behave: Behaviour;
+}
+
+/** Answers with a signed body. */
+export function signed(response: http.ServerResponse, received: Received, body: string, status = 200): void {
+    response.writeHead(status, { "request-id": text(received.headers["request-id"]) ?? "", "signature": "s" });
+    response.end(body);
+}
+
+/** The gateway under test with its registry and stand-ins. */
+export class Fixture {
+    readonly scope = new lifecycle.Lifecycle("test");
+    readonly standIns: StandIn[] = [];
+    configuration: routing.RoutedConfiguration | undefined;
+    private started: gateway.Gateway | undefined;
+
+    constructor(private readonly portOffset: number) {}
+
+    /** Starts a stand-in that answers with its own name until it is told otherwise. */
+    async addStandIn(id: string, change: Partial<routing.Upstream> = {}): Promise<StandIn> {
+        const server = http.createServer((request, response) => {
+            const pieces: Buffer[] = [];
+            request.on("data", (piece: Buffer) => pieces.push(piece));
+            request.on("end", () => {
+                const received: Received = {
+                    method: request.method ?? "",
+                    path: request.url ?? "",
+                    headers: request.headers,
+                    body: Buffer.concat(pieces).toString("utf8"),
+                };
+                standIn.received.push(received);
+                standIn.behave(received, response, request);
+            });
+        });
+        await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+        this.scope.own(() => {
+            server.close();
+            server.closeAllConnections();
+        });
+        const { port } = server.address() as net.AddressInfo;
+        const standIn: StandIn = {
+            upstream: {
+                id,
+                service: "counter",
+                address: `127.0.0.1:${port}`,
+                availabilityZone: "a",
+                state: routing.UpstreamState.Ready,
+                slots: 6,
+                stage: undefined,
+                startedAt: 1,
+                warmUpLeftMs: 0,
+                ...change,
+            },
+            received: [],
+            behave: (received, response) => signed(response, received, id),
+        };
+        this.standIns.push(standIn);
+        return standIn;
+    }
+
+    /** Starts the gateway and waits until it is ready. */
+    async start(configuration: routing.RoutedConfiguration): Promise<void> {
+        this.configuration = configuration;
+        const port = testing.testPortBase(this.portOffset);
+        const listen = (offset: number) => ({ address: "127.0.0.1", port: port + offset });
+        const registry: gateway.Registry = {
+            nextConfiguration: async () => {
+                await lifecycle.pause(this.scope, 10);
+                return decision.known(this.configuration);
+            },
+            listUpstreams: async () => decision.known(this.standIns.map(({ upstream }) => upstream)),
+            announceHost: async () => decision.known(undefined),
+            withdrawHost: async () => decision.known(undefined),
+            listHosts: async () => decision.known([]),
+        };
+        this.started = await gateway.startGateway({
+            settings: {
+                host: "host-1",
+                availabilityZone: "a",
+                callers: listen(0),
+                readiness: listen(1),
+                metrics: { ...listen(2), path: "/metrics" },
+                peers: listen(3),
+                stopPeriodMs: 3_000,
+                quotaTolerance: 0,
+                quotaWindowMs: 8_000,
+                retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
+            },
+            wire,
+            registry: () => registry,
+            random: () => 0.5,
+        });
+        while ((await this.get(1, "/ready")).status !== 200) {
+            await lifecycle.pause(this.scope, 10);
+        }
+    }
+
+    /** Stops the gateway gracefully. */
+    async stop(): Promise<void> {
+        await this.started?.stop();
+    }
+
+    /** Asks one of the gateway's side ports. */
+    get(portOffset: number, path: string): Promise<Answer> {
+        return call({ port: testing.testPortBase(this.portOffset) + portOffset, path });
+    }
+
+    /** Sends a caller's request. */
+    send(request: Partial<CallerRequest> = {}): Promise<Answer> {
+        return call({
+            port: testing.testPortBase(this.portOffset),
+            path: "/book/1",
+            ...request,
+            headers: { "host": "shop.example", "request-id": "r-1", "key": "key-1", ...request.headers },
+        });
+    }
+
+    /** Releases everything. */
+    async close(): Promise<void> {
+        await this.stop();
+        await this.scope.close();
+    }
+}
+
+/** A request of a caller. */
+export interface CallerRequest {
+    readonly port: number;
+    readonly path: string;
+    readonly method?: string;
+    readonly headers?: http.OutgoingHttpHeaders;
+    readonly body?: string;
+    readonly agent?: http.Agent;
+    /** Leaves after this time without a whole answer. */
+    readonly leaveAfterMs?: number;
+}
+
+/** What a caller got. Status 0 means that the connection ended before an answer. */
+export interface Answer {
+    readonly status: number;
+    readonly headers: http.IncomingHttpHeaders;
+    readonly body: string;
+    /** Whether the body is complete by its framing. */
+    readonly whole: boolean;
+    readonly tookMs: number;
+}
+
+function call(request: CallerRequest): Promise<Answer> {
+    const startedAt = lifecycle.monotonicClock();
+    return new Promise((resolve) => {
+        const finish = (answer: Omit<Answer, "tookMs">) =>
+            resolve({ ...answer, tookMs: lifecycle.monotonicClock() - startedAt });
+        const sent = http.request({ host: "127.0.0.1", method: "GET", ...request });
+        sent.on("error", () => finish({ status: 0, headers: {}, body: "", whole: false }));
+        sent.on("response", (response) => {
+            const pieces: Buffer[] = [];
+            response.on("data", (piece: Buffer) => pieces.push(piece));
+            response.on("error", () => undefined);
+            response.on("close", () =>
+                finish({
+                    status: response.statusCode ?? 0,
+                    headers: response.headers,
+                    body: Buffer.concat(pieces).toString("utf8"),
+                    whole: response.complete,
+                }));
+        });
+        if (request.leaveAfterMs !== undefined) {
+            setTimeout(() => sent.destroy(), request.leaveAfterMs);
+        }
+        sent.end(request.body);
+    });
+}
+
+/** A configuration with a route for each kind and one workspace. */
+export function makeConfiguration(change: Partial<routing.RoutedConfiguration> = {}): routing.RoutedConfiguration {
+    const route = (name: string, kind: routing.RouteKind, more: Partial<routing.Route> = {}): routing.Route => ({
+        name,
+        hostName: "shop.example",
+        pathPrefix: `/${name}/`,
+        kind,
+        timeoutMs: 1_000,
+        latencyTargetMs: 200,
+        pauseTargetMs: undefined,
+        priority: 1,
+        targets: [{ service: "counter", weight: 1 }],
+        attempts: 2,
+        open: false,
+        generative: false,
+        resumable: false,
+        ...more,
+    });
+    const stream = { targets: [{ service: "model", weight: 1 }], generative: true, timeoutMs: 5_000 };
+    const { Idempotent, NonIdempotent, Streaming } = routing.RouteKind;
+    return {
+        version: 1,
+        routes: [
+            route("look", Idempotent),
+            route("book", NonIdempotent),
+            route("write", Streaming, { ...stream, attempts: 1 }),
+            route("resume", Streaming, { ...stream, resumable: true }),
+        ],
+        services: [
+            { name: "counter", connectionLimit: 100, engine: undefined },
+            {
+                name: "model",
+                connectionLimit: 100,
+                engine: {
+                    slots: 8,
+                    memoryTokens: 50_000,
+                    reservationLimitMs: 2_000,
+                    handleLifeMs: 500,
+                    tokensAnEvent: 1,
+                },
+            },
+        ],
+        workspaces: [{
+            name: "north",
+            keys: ["key-1"],
+            priority: undefined,
+            unit: routing.RateUnit.Tokens,
+            plainCost: 1,
+            ratePerSecond: 100_000,
+            burst: 100_000,
+        }],
+        limits: { headerBytes: 4_096, bodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+        ...change,
+    };
+}
--- /dev/null
+++ b/packages/gateway/test/modelpath.test.ts
@@ -0,0 +1,155 @@
+import * as routing from "@citronlead/routing";
+import * as chai from "chai";
+import * as fixtures from "./fixture.js";
+
+const PROMPT = { "prompt-tokens": "500", "output-tokens": "100" };
+
+/** Answers reservations and prefills, and streams the given events. */
+function engine(name: string, events: readonly string[]): fixtures.Behaviour {
+    return (received, response) => {
+        if (received.path === "/reserve") {
+            response.end(JSON.stringify({ id: `${name}-reservation` }));
+        }
+        else if (received.headers["stage"] === "prefill") {
+            response.writeHead(200, { "request-id": "r-1" }).end(JSON.stringify({ handle: `${name}-handle` }));
+        }
+        else if (received.method === "DELETE") {
+            response.end();
+        }
+        else {
+            response.writeHead(200, { "request-id": "r-1", "signature": name, "content-type": "text/event-stream" });
+            events.forEach((event) => response.write(event));
+            response.end();
+        }
+    };
+}
+
+describe("Model engines through the gateway", () => {
+    const fixture = new fixtures.Fixture(2_200);
+    let prefill: fixtures.StandIn;
+    let decode: fixtures.StandIn;
+    let spare: fixtures.StandIn;
+    const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
+    const paths = (standIn: fixtures.StandIn) => standIn.received.map(({ method, path }) => `${method} ${path}`);
+    const runs = (standIn: fixtures.StandIn) => standIn.received.filter(({ path }) => path.startsWith("/write/"));
+
+    before(async () => {
+        const stage = (value: routing.EngineStage) => ({ service: "model", stage: value });
+        prefill = await fixture.addStandIn("prefill", stage(routing.EngineStage.Prefill));
+        decode = await fixture.addStandIn("decode", stage(routing.EngineStage.Decode));
+        spare = await fixture.addStandIn("spare", stage(routing.EngineStage.Decode));
+        await fixture.start(fixtures.makeConfiguration());
+    });
+    beforeEach(() => {
+        for (const [standIn, name] of [[prefill, "prefill"], [decode, "decode"], [spare, "spare"]] as const) {
+            standIn.received.length = 0;
+            standIn.behave = engine(name, events);
+        }
+    });
+    after(() => fixture.close());
+
+    const full: fixtures.Behaviour = (_, response) => response.writeHead(503, { "not-run": "1" }).end();
+    /** Lets only the one decode engine have room. */
+    const only = (standIn: fixtures.StandIn) => {
+        (standIn === decode ? spare : decode).behave = full;
+    };
+
+    it("reserves memory, has the prompt read elsewhere and streams from its handle", async () => {
+        only(decode);
+        const answer = await fixture.send({ path: "/write/1", method: "POST", body: "prompt", headers: PROMPT });
+        chai.expect(answer).to.include({ status: 200, body: events.join(""), whole: true });
+        chai.expect(paths(prefill)).to.deep.equal(["POST /write/1"]);
+        chai.expect(runs(decode)[0]?.headers).to.include({
+            source: `${prefill.upstream.address}/prefill-handle`,
+            reservation: "decode-reservation",
+        });
+        chai.expect(runs(decode)[0]?.body).to.equal("prompt");
+    });
+
+    it("lets the decode engine read the prompt when no prefill engine answers", async () => {
+        only(decode);
+        prefill.behave = full;
+        const answer = await fixture.send({ path: "/write/1", headers: PROMPT });
+        chai.expect(answer.status).to.equal(200);
+        chai.expect(runs(decode)[0]?.headers).to.not.have.property("source");
+    });
+
+    it("refuses with a time to return once no engine had room in time, and has read no prompt in vain", async () => {
+        decode.behave = full;
+        spare.behave = full;
+        const answer = await fixture.send({ path: "/write/1", headers: PROMPT });
+        chai.expect(answer.status).to.equal(503);
+        chai.expect(Number(answer.headers["retry-after"])).to.be.above(0);
+        chai.expect(answer.tookMs).to.be.below(2_500);
+        chai.expect(prefill.received).to.deep.equal([]);
+    });
+
+    it("waits for room that is freed within the latency target", async () => {
+        decode.behave = full;
+        spare.behave = full;
+        setTimeout(() => {
+            decode.behave = engine("decode", events);
+        }, 100);
+        chai.expect((await fixture.send({ path: "/write/1", headers: PROMPT })).status).to.equal(200);
+    });
+
+    it("breaks off a stream that cannot be resumed and does not run it again", async () => {
+        only(decode);
+        const answers = engine("decode", events);
+        decode.behave = (received, response, request) => {
+            if (!received.path.startsWith("/write/")) {
+                answers(received, response, request);
+                return;
+            }
+            response.writeHead(200, { "request-id": "r-1", "signature": "decode" });
+            response.write(`${events[0]}id: 2\nda`);
+            setTimeout(() => request.socket.resetAndDestroy(), 30);
+        };
+        const answer = await fixture.send({ path: "/write/1", headers: PROMPT });
+        chai.expect(answer.whole).to.equal(false);
+        chai.expect(answer.body).to.equal(events[0]);
+        chai.expect(runs(decode).length + runs(spare).length).to.equal(1);
+    });
+
+    it("goes on at another engine after the last whole event where the route allows it", async () => {
+        const resumed: (string | undefined)[] = [];
+        let first = true;
+        for (const [standIn, name] of [[decode, "decode"], [spare, "spare"]] as const) {
+            const answers = engine(name, []);
+            standIn.behave = (received, response, request) => {
+                if (!received.path.startsWith("/resume/")) {
+                    answers(received, response, request);
+                    return;
+                }
+                resumed.push(received.headers["last-event-id"] as string | undefined);
+                response.writeHead(200, { "request-id": "r-1", "signature": name });
+                if (first) {
+                    first = false;
+                    response.write(`${events[0]}id: 2\nda`);
+                    setTimeout(() => request.socket.resetAndDestroy(), 30);
+                }
+                else {
+                    response.end(events.slice(1).join(""));
+                }
+            };
+        }
+        const answer = await fixture.send({ path: "/resume/1", headers: PROMPT });
+        chai.expect(answer).to.include({ status: 200, body: events.join(""), whole: true });
+        chai.expect(resumed).to.deep.equal([undefined, "1"]);
+    });
+
+    it("frees a handle when its caller has left", async () => {
+        only(decode);
+        prefill.behave = (received, response) => {
+            if (received.method === "DELETE") {
+                response.end();
+                return;
+            }
+            setTimeout(() => response.writeHead(200).end(JSON.stringify({ handle: "h" })), 200);
+        };
+        await fixture.send({ path: "/write/1", headers: PROMPT, leaveAfterMs: 80 });
+        await new Promise((resolve) => setTimeout(resolve, 300));
+        chai.expect(runs(decode)).to.deep.equal([]);
+        chai.expect(paths(decode)).to.include("DELETE /reserve/decode-reservation");
+    });
+});
--- /dev/null
+++ b/packages/gateway/test/plainpath.test.ts
@@ -0,0 +1,185 @@
+import * as chai from "chai";
+import * as http from "node:http";
+import * as fixtures from "./fixture.js";
+
+describe("Plain services through the gateway", () => {
+    const fixture = new fixtures.Fixture(2_000);
+    let one: fixtures.StandIn;
+    let other: fixtures.StandIn;
+    const runs = () => one.received.length + other.received.length;
+
+    before(async () => {
+        one = await fixture.addStandIn("one");
+        other = await fixture.addStandIn("other");
+        await fixture.start(fixtures.makeConfiguration());
+    });
+    beforeEach(() => {
+        for (const standIn of [one, other]) {
+            standIn.received.length = 0;
+            standIn.behave = (received, response) => fixtures.signed(response, received, "done");
+        }
+    });
+    after(() => fixture.close());
+
+    const both = (behave: fixtures.Behaviour) => {
+        one.behave = behave;
+        other.behave = behave;
+    };
+
+    it("passes method, path, body and the upstream's answer on unchanged", async () => {
+        const answer = await fixture.send({
+            method: "POST",
+            path: "/book/a%20b?x=1",
+            body: "three tables",
+            headers: { colour: "blue" },
+        });
+        chai.expect([answer.status, answer.body, answer.headers["signature"]]).to.deep.equal([200, "done", "s"]);
+        const [received] = [...one.received, ...other.received];
+        chai.expect([received?.method, received?.path, received?.body]).to.deep.equal([
+            "POST",
+            "/book/a%20b?x=1",
+            "three tables",
+        ]);
+        chai.expect(received?.headers).to.include({ "colour": "blue", "workspace": "north", "request-id": "r-1" });
+        chai.expect(received?.headers).to.not.have.property("key");
+    });
+
+    it("drops system headers that a caller forged, and headers of the connection alone", async () => {
+        await fixture.send({
+            headers: { workspace: "south", source: "x", connection: "close, colour", colour: "blue" },
+        });
+        const [received] = [...one.received, ...other.received];
+        chai.expect(received?.headers["workspace"]).to.equal("north");
+        chai.expect(received?.headers).to.not.have.any.keys("source", "colour");
+    });
+
+    it("refuses unknown routes and keys, and what is too long, without a send", async () => {
+        const statuses = await Promise.all([
+            fixture.send({ path: "/nothing/" }),
+            fixture.send({ headers: { key: "key-9" } }),
+            fixture.send({ method: "POST", body: "x".repeat(10_001) }),
+            fixture.send({ headers: { long: "x".repeat(5_000) } }),
+        ]);
+        chai.expect(statuses.map(({ status }) => status)).to.deep.equal([404, 401, 413, 431]);
+        chai.expect(runs()).to.equal(0);
+    });
+
+    it("sends a non-idempotent request elsewhere if it did not run", async () => {
+        one.behave = (_, response) => response.writeHead(503, { "not-run": "1" }).end();
+        for (let index = 0; index < 6; index++) {
+            chai.expect((await fixture.send()).status).to.equal(200);
+        }
+    });
+
+    it("never sends a non-idempotent request twice once it may have run", async () => {
+        both((_received, _response, request) => request.socket.destroy());
+        const answer = await fixture.send();
+        chai.expect(answer.status).to.equal(502);
+        chai.expect(runs()).to.equal(1);
+    });
+
+    it("sends an idempotent request again after a lost answer and after a failure", async () => {
+        one.behave = (_received, _response, request) => request.socket.destroy();
+        other.behave = one.behave;
+        let count = 0;
+        both((received, response, request) => {
+            if (count++ === 0) {
+                request.socket.destroy();
+            }
+            else {
+                fixtures.signed(response, received, "second");
+            }
+        });
+        chai.expect(await fixture.send({ path: "/look/1" })).to.include({ status: 200, body: "second" });
+        count = 0;
+        both((received, response) => fixtures.signed(response, received, "answer", count++ === 0 ? 500 : 200));
+        chai.expect((await fixture.send({ path: "/look/1" })).status).to.equal(200);
+        chai.expect(count).to.equal(2);
+    });
+
+    it("takes neither an unsigned nor an encoded success, nor one for another request", async () => {
+        const bad: fixtures.Behaviour[] = [
+            (received, response) =>
+                response.writeHead(200, { "request-id": `${received.headers["request-id"]}` }).end(),
+            (_, response) => response.writeHead(200, { "signature": "s", "content-encoding": "gzip" }).end("x"),
+            (_, response) => response.writeHead(200, { "signature": "s", "request-id": "r-0" }).end("foreign"),
+        ];
+        for (const behave of bad) {
+            both(behave);
+            chai.expect((await fixture.send()).status).to.equal(502);
+        }
+    });
+
+    it("takes an answer without a length that is reset for broken, and one that is closed in order for whole", async () => {
+        const head = "HTTP/1.1 200 OK\r\nsignature: s\r\nrequest-id: r-1\r\nconnection: close\r\n\r\n";
+        both((_received, _response, request) => {
+            request.socket.write(`${head}half`);
+            setTimeout(() => request.socket.resetAndDestroy(), 30);
+        });
+        chai.expect((await fixture.send()).status).to.equal(502);
+        both((_received, _response, request) => void request.socket.end(`${head}all of it`));
+        chai.expect(await fixture.send()).to.include({ status: 200, body: "all of it", whole: true });
+    });
+
+    it("does not use a connection again on which a second answer came", async () => {
+        both((_received, _response, request) => {
+            const answer = "HTTP/1.1 200 OK\r\nsignature: s\r\nrequest-id: r-1\r\ncontent-length: 5\r\n\r\nfirst";
+            request.socket.write(answer);
+            setTimeout(() => request.socket.write(answer.replace("first", "stale")), 20);
+        });
+        chai.expect((await fixture.send()).body).to.equal("first");
+        await new Promise((resolve) => setTimeout(resolve, 60));
+        both((received, response) => fixtures.signed(response, received, "fresh"));
+        chai.expect((await fixture.send()).body).to.equal("fresh");
+    });
+
+    it("answers 504 at the route's timeout and passes on the time that is left", async () => {
+        both(() => undefined);
+        const answer = await fixture.send({ headers: { patience: "400" } });
+        chai.expect(answer.status).to.equal(504);
+        chai.expect(answer.tookMs).to.be.within(300, 800);
+        const [received] = [...one.received, ...other.received];
+        chai.expect(Number(received?.headers["time-left"])).to.be.within(300, 400);
+    });
+
+    it("ends the send when the caller leaves", async () => {
+        const ended = new Promise<void>((resolve) =>
+            both((_received, _response, request) => request.socket.on("close", () => resolve()))
+        );
+        await fixture.send({ leaveAfterMs: 100 });
+        await ended;
+    });
+
+    it("says that nothing ran when no upstream can be reached, and when to return", async () => {
+        both((_, response) => response.writeHead(503, { "not-run": "1" }).end());
+        const answer = await fixture.send();
+        chai.expect(answer.status).to.equal(503);
+        chai.expect(Number(answer.headers["retry-after"])).to.be.above(0);
+    });
+
+    it("serves metrics and tells readiness", async () => {
+        chai.expect((await fixture.get(2, "/metrics")).body).to.include("citronlead_gateway_requests_total");
+        chai.expect((await fixture.get(1, "/ready")).status).to.equal(200);
+    });
+});
+
+describe("A gateway that stops", () => {
+    it("answers what is under way, closes kept connections after their answer and takes no more", async () => {
+        const fixture = new fixtures.Fixture(2_100);
+        const slow = await fixture.addStandIn("slow");
+        await fixture.start(fixtures.makeConfiguration());
+        slow.behave = (received, response) => setTimeout(() => fixtures.signed(response, received, "late"), 300);
+        const agent = new http.Agent({ keepAlive: true });
+        const underWay = fixture.send({ agent });
+        await new Promise((resolve) => setTimeout(resolve, 100));
+        const stopped = fixture.stop();
+        const answer = await underWay;
+        chai.expect(answer).to.include({ status: 200, body: "late" });
+        chai.expect(answer.headers["connection"]).to.equal("close");
+        chai.expect((await fixture.get(1, "/ready")).status).to.equal(503);
+        await stopped;
+        chai.expect((await fixture.send()).status).to.equal(0);
+        agent.destroy();
+        await fixture.close();
+    });
+});
