Pass answers without a length on without one

Ruled out: a reset taken for an end (the connection reported an end and no error, by a trial with extra log lines). Test: the header check failed before.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -132,12 +132,19 @@
         });
     }
 
-    /** Passes on the head of an upstream's answer. */
-    beginAnswer(status: number, headers: readonly string[]): void {
+    /**
+     * Passes on the head of an upstream's answer. An answer without a length ends with its connection here too: given a
+     * length, one that its upstream broke off would look complete.
+     */
+    beginAnswer(status: number, headers: readonly string[], framed: boolean): void {
         this.context.metrics.firstByte.observe(
             { service: this.service },
             (this.context.clock() - this.startedAt) / decision.SECOND_MS,
         );
+        if (!framed) {
+            this.response.useChunkedEncodingByDefault = false;
+            this.response.shouldKeepAlive = false;
+        }
         this.response.writeHead(status, headers as unknown as http.OutgoingHttpHeader[]);
     }
 
--- a/packages/gateway/src/modelpath.ts
+++ b/packages/gateway/src/modelpath.ts
@@ -184,7 +184,9 @@
         if (exchange.route.resumable && exchange.route.attempts > 1 && status >= 500) {
             return dispatch.SendEffect.RanAndFailed;
         }
-        exchange.beginAnswer(status, headers.answerHeaders(response.rawHeaders, body.length));
+        const framed = calls.isFramed(response);
+        const passed = headers.answerHeaders(response.rawHeaders, framed ? body.length : undefined);
+        exchange.beginAnswer(status, passed, framed);
         exchange.endAnswer(exchanges.FinalReason.UpstreamFailure, body);
         return undefined;
     }
--- a/packages/gateway/src/plainpath.ts
+++ b/packages/gateway/src/plainpath.ts
@@ -112,7 +112,8 @@
     if (status >= 500 && mayRepeat(exchange)) {
         return dispatch.SendEffect.RanAndFailed;
     }
-    exchange.beginAnswer(status, headers.answerHeaders(response.rawHeaders, body.length));
+    const framed = calls.isFramed(response);
+    exchange.beginAnswer(status, headers.answerHeaders(response.rawHeaders, framed ? body.length : undefined), framed);
     exchange.endAnswer(success ? exchanges.FinalReason.Served : exchanges.FinalReason.UpstreamFailure, body);
     return undefined;
 }
--- a/packages/gateway/src/streamrelay.ts
+++ b/packages/gateway/src/streamrelay.ts
@@ -38,7 +38,8 @@
         }
         const pass = (bytes: Buffer) => {
             if (!response.headersSent) {
-                exchange.beginAnswer(source.statusCode ?? 200, headers.answerHeaders(source.rawHeaders, undefined));
+                const passed = headers.answerHeaders(source.rawHeaders, undefined);
+                exchange.beginAnswer(source.statusCode ?? 200, passed, calls.isFramed(source));
             }
             if (!response.write(bytes)) {
                 source.pause();
--- a/packages/gateway/src/upstreamcall.ts
+++ b/packages/gateway/src/upstreamcall.ts
@@ -116,7 +116,7 @@
 const endedByPeer = new WeakSet<http.IncomingMessage>();
 
 /** Whether the end of an answer's body can be told without the end of its connection. */
-function isFramed({ headers, statusCode }: http.IncomingMessage): boolean {
+export function isFramed({ headers, statusCode }: http.IncomingMessage): boolean {
     return headers["content-length"] !== undefined
         || headers["transfer-encoding"] !== undefined
         || statusCode === 204
--- a/packages/gateway/test/plainpath.test.ts
+++ b/packages/gateway/test/plainpath.test.ts
@@ -118,7 +118,9 @@
         });
         chai.expect((await fixture.send()).status).to.equal(502);
         both((_received, _response, request) => void request.socket.end(`${head}all of it`));
-        chai.expect(await fixture.send()).to.include({ status: 200, body: "all of it", whole: true });
+        const answer = await fixture.send();
+        chai.expect(answer).to.include({ status: 200, body: "all of it", whole: true });
+        chai.expect(answer.headers).to.not.have.any.keys("content-length", "transfer-encoding");
     });
 
     it("does not use a connection again on which a second answer came", async () => {
