Send no decode to an engine that began to drain while the prompt was read

Also: a failed read of the store is repeated sooner, so that one failure leaves time for a departure. Test: failed before, the decode reached the draining engine.

--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -8,8 +8,8 @@
 
 /** Period of listings of upstreams: departures must be known within two seconds, and each call is billed. */
 const LISTING_PERIOD_MS = 1_000;
-/** Pause after a failed read of the store; also the pause between failed watches. */
-const RETRY_PAUSE_MS = 400;
+/** Pause after a failed read of the store: with the time-out of a call, one failure still leaves time for a departure. */
+const RETRY_PAUSE_MS = 250;
 /** A pause between listings after which registrations may have lapsed: two beats of an upstream. */
 const OUTAGE_MS = 2_400;
 /** Time in which lapsed registrations are back after an outage, with one listing period to spare. */
--- a/packages/gateway/src/modelpath.ts
+++ b/packages/gateway/src/modelpath.ts
@@ -95,6 +95,9 @@
                 }
                 return undefined;
             }
+            if (!this.context.pool.takesWork(candidate.upstream)) {
+                return this.abandon(exchange, reservation, prefilled);
+            }
             return await this.decode(exchange, reservation, prefilled, progress);
         }
         finally {
@@ -102,6 +105,20 @@
         }
     }
 
+    /** Gives up an engine that began to drain while the prompt was read elsewhere. */
+    private abandon(
+        exchange: exchanges.Exchange,
+        reservation: room.Reservation,
+        prefilled: prefills.Prefilled | undefined,
+    ): dispatch.SendEffect {
+        exchange.step("decode", reservation.candidate.upstream.id, "not sent: draining", this.context.clock());
+        room.releaseReservation(exchange, reservation);
+        if (prefilled) {
+            prefills.releasePrefill(exchange, prefilled);
+        }
+        return dispatch.SendEffect.NotRun;
+    }
+
     private async decode(
         exchange: exchanges.Exchange,
         reservation: room.Reservation,
--- a/packages/gateway/src/upstreampool.ts
+++ b/packages/gateway/src/upstreampool.ts
@@ -37,6 +37,12 @@
         }));
     }
 
+    /** Whether this incarnation of an upstream still takes new work. */
+    takesWork(upstream: routing.Upstream): boolean {
+        const known = this.directory.known.get(upstream.id)?.upstream;
+        return known?.state === routing.UpstreamState.Ready && known.startedAt === upstream.startedAt;
+    }
+
     /** Whether any upstream takes new work. */
     get usable(): boolean {
         return this.directory.known.size > 0;
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -77,7 +77,7 @@
 
 /** A stand-in of an upstream that does as it is told and remembers what it got. */
 export interface StandIn {
-    readonly upstream: routing.Upstream;
+    upstream: routing.Upstream;
     readonly received: Received[];
     behave: Behaviour;
 }
--- a/packages/gateway/test/modelpath.test.ts
+++ b/packages/gateway/test/modelpath.test.ts
@@ -152,4 +152,24 @@
         chai.expect(runs(decode)).to.deep.equal([]);
         chai.expect(paths(decode)).to.include("DELETE /reserve/decode-reservation");
     });
+
+    it("sends nothing to an engine that began to drain while the prompt was read", async () => {
+        only(decode);
+        const { upstream } = decode;
+        prefill.behave = (received, response) => {
+            if (received.method === "DELETE") {
+                response.end();
+                return;
+            }
+            decode.upstream = { ...upstream, state: routing.UpstreamState.Draining };
+            spare.behave = engine("spare", events);
+            // Longer than the period in which upstreams are listed.
+            setTimeout(() => response.writeHead(200).end(JSON.stringify({ handle: "h" })), 1_300);
+        };
+        const longPrompt = { ...PROMPT, "prompt-tokens": "80000" };
+        const answer = await fixture.send({ path: "/write/1", headers: longPrompt });
+        chai.expect(answer).to.include({ status: 200, body: events.join("") });
+        chai.expect(runs(decode)).to.deep.equal([]);
+        chai.expect(runs(spare)).to.have.length(1);
+    });
 });
