--- a/packages/dispatch/src/upstreamhealth.ts
+++ b/packages/dispatch/src/upstreamhealth.ts
@@ -35,8 +35,6 @@
     private slowness = 1;
     /** Sends under way. */
     inFlight = 0;
-    /** Tokens of the sends under way. */
-    tokensInFlight = 0;
 
     /** Takes the result of a send in. */
     record(result: SendResult, now: decision.Milliseconds): void {
--- a/packages/gateway/src/callerserver.ts
+++ b/packages/gateway/src/callerserver.ts
@@ -53,7 +53,7 @@
         }
         response.on("error", () => undefined);
         response.on("close", () => open.delete(response));
-        void serve(context, models, limits(), request, response);
+        serve(context, models, limits(), request, response).catch((error: unknown) => failed(context, response, error));
     });
     server.on("clientError", (error, socket) => {
         context.log.decision("request not readable", { reason: error.message });
@@ -80,6 +80,15 @@
     };
 }
 
+/** Ends a request that met a fault of the gateway's own; other requests go on unless an invariant is broken. */
+function failed(context: contexts.GatewayContext, response: http.ServerResponse, error: unknown): void {
+    context.log.notice("request met a fault", { error: error instanceof Error ? error.stack : String(error) });
+    if (error instanceof decision.BrokenInvariantError) {
+        throw error;
+    }
+    response.destroy();
+}
+
 /** Closes the connection of an answer when the answer is out, so that no further request arrives on it. */
 function closeAfter(response: http.ServerResponse): void {
     response.shouldKeepAlive = false;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -61,6 +61,8 @@
     private underWay: Step | undefined;
     /** Whether an upstream may have run the request. */
     mayHaveRun = false;
+    /** Engines that had no room when they were asked. */
+    refusedReservations = 0;
     /** Pieces of a stream that were passed on. */
     passedEvents = 0;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -166,6 +166,7 @@
         promptTokens: exchange.facts.promptTokens,
         outputTokens: exchange.facts.outputTokens,
         expectedOutputTokens: exchange.expectedOutput,
+        refusedReservations: exchange.refusedReservations,
         passedEvents: exchange.passedEvents,
         outcome: reason,
         status,
--- a/packages/gateway/src/plainpath.ts
+++ b/packages/gateway/src/plainpath.ts
@@ -33,7 +33,7 @@
         }
         tried.add(routing.incarnationOf(candidate.upstream));
         const last = route.kind !== routing.RouteKind.Idempotent || runs + 1 >= route.attempts;
-        const result = await sendOnce(exchange, candidate, last ? exchange.leftMs : hedgeMs(exchange));
+        const result = await sendOnce(exchange, candidate, runs, last ? exchange.leftMs : hedgeMs(exchange));
         if (result === undefined || exchange.over) {
             return;
         }
@@ -74,6 +74,7 @@
 async function sendOnce(
     exchange: exchanges.Exchange,
     candidate: dispatch.Candidate,
+    formerRuns: number,
     headTimeoutMs: decision.Milliseconds,
 ): Promise<dispatch.SendEffect | undefined> {
     const mayHaveRun = exchange.mayHaveRun;
@@ -88,7 +89,7 @@
         if (sent.kind === sends.SendKind.Lost) {
             return dispatch.SendEffect.MayHaveRun;
         }
-        return await relayWhole(exchange, sent);
+        return await relayWhole(exchange, sent, formerRuns + 1);
     }
     finally {
         candidate.health.inFlight--;
@@ -99,6 +100,7 @@
 async function relayWhole(
     exchange: exchanges.Exchange,
     { response, facts }: Extract<sends.Sent, { kind: sends.SendKind.Answer; }>,
+    runs: number,
 ): Promise<dispatch.SendEffect | undefined> {
     const body = await calls.readWhole(response, exchange.leftMs);
     const status = response.statusCode ?? 502;
@@ -109,7 +111,7 @@
     if (exchange.over) {
         return undefined;
     }
-    if (status >= 500 && mayRepeat(exchange)) {
+    if (status >= 500 && mayRepeat(exchange, runs)) {
         return dispatch.SendEffect.RanAndFailed;
     }
     const framed = calls.isFramed(response);
@@ -119,9 +121,8 @@
 }
 
 /** Whether a failed answer is better followed by a repeat than passed on. */
-function mayRepeat(exchange: exchanges.Exchange): boolean {
-    const { context, route, service, steps } = exchange;
-    const runs = steps.filter((step) => !step.result.startsWith(sends.SendKind.NotRun)).length;
+function mayRepeat(exchange: exchanges.Exchange, runs: number): boolean {
+    const { context, route, service } = exchange;
     return dispatch.maySendAgain({
         route,
         effect: dispatch.SendEffect.RanAndFailed,
--- a/packages/gateway/src/prefill.ts
+++ b/packages/gateway/src/prefill.ts
@@ -2,7 +2,6 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
 import type * as exchanges from "./exchange.js";
-import type * as reservations from "./reservation.js";
 import * as room from "./reservation.js";
 import * as sends from "./send.js";
 import * as calls from "./upstreamcall.js";
@@ -78,6 +77,8 @@
                 ? context.wire.readPrefill(sends.parseJson(body))
                 : undefined;
             if (handle === undefined) {
+                exchange.step("prefill", candidate.upstream.id, "answer without a handle", startedAt);
+                candidate.health.record(dispatch.SendResult.Failed, context.clock());
                 return undefined;
             }
             this.learn(exchange.service, candidate, (context.clock() - startedAt) / Math.max(1, facts.promptTokens));
@@ -113,6 +114,3 @@
         () => sends.callEngine(exchange, prefilled.candidate, call, RELEASE_TIMEOUT_MS, undefined),
     );
 }
-
-/** The reservation's engine, which a prefill is made for. */
-export type DecodeReservation = reservations.Reservation;
--- a/packages/gateway/src/reservation.ts
+++ b/packages/gateway/src/reservation.ts
@@ -121,13 +121,12 @@
     const id = outcome.value.status === 200 ? context.wire.readReservation(outcome.value.body) : undefined;
     if (id === undefined) {
         candidate.health.record(dispatch.SendResult.Full, now);
+        context.metrics.sends.inc({ service: exchange.service, call: "reserve", result: "full" });
+        exchange.refusedReservations++;
+    }
+    else {
+        exchange.step("reserve", candidate.upstream.id, "held", startedAt);
     }
-    exchange.step(
-        "reserve",
-        candidate.upstream.id,
-        id === undefined ? String(outcome.value.status) : "held",
-        startedAt,
-    );
     return id;
 }
 
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -32,6 +32,9 @@
         lastEventId: text(headers["last-event-id"]),
     }),
     upstreamHeaders: (callerHeaders, forwarding) => {
+        if (callerHeaders.includes("meet-a-fault")) {
+            throw new Error("a fault of the gateway's own");
+        }
         const added: [string, string | undefined][] = [
             ["time-left", String(forwarding.timeLeftMs)],
             ["upstream-id", forwarding.expectedUpstream],
--- a/packages/gateway/test/plainpath.test.ts
+++ b/packages/gateway/test/plainpath.test.ts
@@ -159,6 +159,11 @@
         chai.expect(Number(answer.headers["retry-after"])).to.be.above(0);
     });
 
+    it("goes on serving after a request met a fault of the gateway's own", async () => {
+        chai.expect((await fixture.send({ headers: { "meet-a-fault": "1" } })).status).to.equal(0);
+        chai.expect((await fixture.send()).status).to.equal(200);
+    });
+
     it("serves metrics and tells readiness", async () => {
         chai.expect((await fixture.get(2, "/metrics")).body).to.include("citronlead_gateway_requests_total");
         chai.expect((await fixture.get(1, "/ready")).status).to.equal(200);
