Let the newest version of a limit decide while hosts charge under two

Cause: the owner's ledger scaled what it had granted down each time a charge under the lower limit followed one under the former. Hosts that the store turned away went on charging under the former limit, so the ledger was scaled again and again and granted nearly everything. Ruled out: a second owner (no "quota owner silent", one member list until 30.1 s) and the parts of hosts on their own (no such decision in the log).

A limit now carries the version of the configuration that states it; the ledger goes by the newest it has seen and scales once. The new test granted 16,000 where 3,700 is the bound before, and passes now.

--- a/packages/dispatch/src/quota.ts
+++ b/packages/dispatch/src/quota.ts
@@ -4,6 +4,8 @@
 export interface QuotaLimit {
     readonly ratePerSecond: number;
     readonly burst: number;
+    /** Configuration version that states the limit. Hosts learn a new one at different moments. */
+    readonly version: number;
 }
 
 /** The answer to a charge. */
@@ -42,7 +44,7 @@
     charge(limit: QuotaLimit, cost: number, now: decision.Milliseconds): QuotaAnswer {
         this.forget(now);
         this.adapt(limit);
-        const most = limit.ratePerSecond * this.windowMs / 1_000 + limit.burst;
+        const most = this.limit.ratePerSecond * this.windowMs / 1_000 + this.limit.burst;
         // A request larger than the whole limit is granted from an unused window: it could never run otherwise.
         const needed = Math.min(cost, most);
         if (this.sum + needed <= most) {
@@ -53,9 +55,15 @@
         return { granted: false, waitMs: this.waitFor(this.sum + needed - most) };
     }
 
-    /** Under a lower limit, what the former one granted counts in proportion; else nothing would be granted for a window. */
+    /**
+     * The limit of the newest version applies, whatever version a host charges under. Under a lower one, what the former
+     * granted counts in proportion; else nothing would be granted for a window.
+     */
     private adapt(limit: QuotaLimit): void {
-        if (limit.ratePerSecond < this.limit.ratePerSecond) {
+        if (limit.version < this.limit.version) {
+            return;
+        }
+        if (limit.version > this.limit.version && limit.ratePerSecond < this.limit.ratePerSecond) {
             const ratio = limit.ratePerSecond / this.limit.ratePerSecond;
             this.parts.forEach((part, index) => this.parts[index] = part * ratio);
             this.sum *= ratio;
@@ -96,8 +104,8 @@
     constructor(private readonly windowMs: decision.Milliseconds) {}
 
     /**
-     * Charges a workspace: in each window, it is granted its rate times the window and its burst. A limit that changed
-     * applies from this charge on.
+     * Charges a workspace: in each window, it is granted its rate times the window and its burst. A limit of a newer
+     * version applies from this charge on.
      */
     charge(workspace: string, limit: QuotaLimit, cost: number, now: decision.Milliseconds): QuotaAnswer {
         if (limit.ratePerSecond <= 0) {
@@ -116,6 +124,7 @@
 export function cutOffLimit(limit: QuotaLimit, tolerance: number, hosts: number): QuotaLimit {
     const count = Math.max(1, hosts);
     return {
+        version: limit.version,
         ratePerSecond: limit.ratePerSecond * CUT_OFF_SHARE / count,
         burst: (limit.burst + tolerance / 2) / count,
     };
--- a/packages/dispatch/test/quota.test.ts
+++ b/packages/dispatch/test/quota.test.ts
@@ -3,7 +3,7 @@
 import * as dispatch from "../src/index.js";
 
 const WINDOW_MS = 8_000;
-const LIMIT: dispatch.QuotaLimit = { ratePerSecond: 1_000, burst: 1_000 };
+const LIMIT: dispatch.QuotaLimit = { ratePerSecond: 1_000, burst: 1_000, version: 1 };
 
 describe("QuotaLedgers", () => {
     it("grants no more than the rate times the window and the burst in any window", () => {
@@ -47,7 +47,7 @@
         for (let at = 0; at < 16_000; at += 100) {
             ledgers.charge("north", LIMIT, 100, at);
         }
-        const lower = { ratePerSecond: 300, burst: 300 };
+        const lower = { ratePerSecond: 300, burst: 300, version: 2 };
         let granted = 0;
         for (let at = 16_000; at < 18_000; at += 100) {
             granted += ledgers.charge("north", lower, 100, at).granted ? 1 : 0;
@@ -55,6 +55,18 @@
         chai.expect(granted).to.be.within(5, 9);
     });
 
+    it("goes by the newest version while hosts charge under two versions in turn", () => {
+        const ledgers = new dispatch.QuotaLedgers(WINDOW_MS);
+        const lower = { ratePerSecond: 300, burst: 300, version: 2 };
+        let granted = 0;
+        for (let at = 0; at < WINDOW_MS; at += 50) {
+            const limit = at % 100 === 0 ? LIMIT : lower;
+            granted += ledgers.charge("north", limit, 100, at).granted ? 100 : 0;
+        }
+        // The first window of the former limit leaves its burst at most; the rest is granted under the lower one.
+        chai.expect(granted).to.be.at.most(LIMIT.burst + lower.ratePerSecond * WINDOW_MS / 1_000 + lower.burst);
+    });
+
     it("says when a refused charge would be granted", () => {
         const ledgers = new dispatch.QuotaLedgers(WINDOW_MS);
         ledgers.charge("north", LIMIT, 1_000, 0);
--- a/packages/gateway/src/callerserver.ts
+++ b/packages/gateway/src/callerserver.ts
@@ -2,11 +2,11 @@
 import * as routing from "@citronlead/routing";
 import * as crypto from "node:crypto";
 import * as http from "node:http";
+import * as charges from "./charge.js";
 import type * as contexts from "./context.js";
 import * as exchanges from "./exchange.js";
 import * as modelpaths from "./modelpath.js";
 import * as plainpath from "./plainpath.js";
-import type * as wires from "./wire.js";
 
 /** Longest head of a request that is read at all; the configuration's limit is checked on what was read. */
 const HEADER_LIMIT_BYTES = 65_536;
@@ -161,45 +161,12 @@
         startedAt,
     );
     context.retries.countRequest(service, startedAt);
-    if (!(await charge(context, exchange, facts)) || exchange.over) {
+    if (!(await charges.charge(exchange, inForce.table.configuration.version)) || exchange.over) {
         return;
     }
     await (route.generative ? models.serve(exchange) : plainpath.servePlain(exchange));
 }
 
-/** Charges the request to its workspace. Refuses it and returns false if the workspace is over its limit. */
-async function charge(
-    context: contexts.GatewayContext,
-    exchange: exchanges.Exchange,
-    facts: wires.CallerFacts,
-): Promise<boolean> {
-    const { workspace } = exchange;
-    if (!workspace || workspace.ratePerSecond <= 0) {
-        return true;
-    }
-    const tokens = facts.promptTokens + facts.outputTokens;
-    const cost = workspace.unit === routing.RateUnit.Requests ? 1 : tokens > 0 ? tokens : workspace.plainCost;
-    const limit = { ratePerSecond: workspace.ratePerSecond, burst: workspace.burst };
-    const { answer, decidedBy } = await context.peers.charge(workspace.name, limit, cost);
-    if (answer.granted) {
-        return true;
-    }
-    context.log.decision("over quota", {
-        requestId: facts.requestId,
-        workspace: workspace.name,
-        cost,
-        ratePerSecond: limit.ratePerSecond,
-        decidedBy,
-        waitMs: Math.round(answer.waitMs),
-    });
-    exchange.refuse({
-        status: 429,
-        reason: exchanges.FinalReason.OverQuota,
-        retryAfterMs: answer.waitMs * (1 + context.random()),
-    });
-    return false;
-}
-
 function contentHash(path: string, workspace: string | undefined, body: Buffer | undefined): string {
     const hash = crypto.createHash("sha1").update(`${path}\n${workspace ?? ""}\n`);
     return hash.update(body ?? "").digest("base64url").slice(0, 16);
--- /dev/null
+++ b/packages/gateway/src/charge.ts
@@ -0,0 +1,35 @@
+import * as routing from "@citronlead/routing";
+import * as exchanges from "./exchange.js";
+
+/**
+ * Charges a request to its workspace under the given version of the configuration. Refuses it and returns false if the
+ * workspace is over its limit.
+ */
+export async function charge(exchange: exchanges.Exchange, version: number): Promise<boolean> {
+    const { context, facts, workspace } = exchange;
+    if (!workspace || workspace.ratePerSecond <= 0) {
+        return true;
+    }
+    const tokens = facts.promptTokens + facts.outputTokens;
+    const cost = workspace.unit === routing.RateUnit.Requests ? 1 : tokens > 0 ? tokens : workspace.plainCost;
+    const limit = { ratePerSecond: workspace.ratePerSecond, burst: workspace.burst, version };
+    const { answer, decidedBy } = await context.peers.charge(workspace.name, limit, cost);
+    if (answer.granted) {
+        return true;
+    }
+    context.log.decision("over quota", {
+        requestId: facts.requestId,
+        workspace: workspace.name,
+        cost,
+        ratePerSecond: limit.ratePerSecond,
+        version,
+        decidedBy,
+        waitMs: Math.round(answer.waitMs),
+    });
+    exchange.refuse({
+        status: 429,
+        reason: exchanges.FinalReason.OverQuota,
+        retryAfterMs: answer.waitMs * (1 + context.random()),
+    });
+    return false;
+}
