Let two hosts of a group read the store and tell the others

Cause: each host listed the upstreams every second and watched the configuration by itself: 1.7 calls a second a host, whatever the size of the fleet. Ruled out: the heartbeats of hosts' registrations (0.2 calls a second a host, at a tenth of the price).

Hosts are split into groups of 24 by a hash; two of a group read and tell the rest, after each listing, the revision, a digest of the upstreams and the version in force. A host that hears the same takes it for a listing of its own; one that hears of a change reads at once; one whose readers are silent for 1.3 periods, or do not vouch for what they know, reads by itself. Periods follow the deployment's bounds (half of the time until a departure has to be known). Messages of a reader: 23 of about 130 bytes a second; they do not grow with the fleet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -60,6 +60,7 @@
         pool,
         host: settings.host,
         address: `${settings.peers.address}:${settings.peers.port}`,
+        freshness: settings.freshness,
     });
     const peerPort = await peers.openPeers({
         scope,
@@ -69,11 +70,13 @@
         hosts: knowledge.hosts,
         quotaTolerance: settings.quotaTolerance,
         quotaWindowMs: settings.quotaWindowMs,
+        onNews: knowledge.hear,
         onCrash: (report) => {
             const crashes = suspects.add(report, clock());
             log.decision("content suspected", { ...report, crashes, source: "other host" });
         },
     });
+    knowledge.tellBy(peerPort.tellNews);
     const context: contexts.GatewayContext = {
         scope,
         settings,
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -1,29 +1,36 @@
 import * as decision from "@citronlead/decision";
-import * as lifecycle from "@citronlead/lifecycle";
+import type * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import type * as logs from "./log.js";
 import type * as metrics from "./metrics.js";
 import type * as ports from "./ports.js";
+import type * as settings from "./settings.js";
+import * as reads from "./storeread.js";
+import * as directories from "./upstreamdirectory.js";
 import type * as pools from "./upstreampool.js";
 
-/** Period of listings of upstreams: departures must be known within two seconds, and each call is billed. */
-const LISTING_PERIOD_MS = 1_000;
-/** Pause after a failed read of the store: with the time-out of a call, one failure still leaves time for a departure. */
-const RETRY_PAUSE_MS = 250;
-/** A pause between listings after which registrations may have lapsed: two beats of an upstream. */
-const OUTAGE_MS = 2_400;
-/** Time in which lapsed registrations are back after an outage, with one listing period to spare. */
-const RETURN_MS = 2_800;
 /** Period of renewals of this host's registration, a third of its life. */
 const ANNOUNCE_PERIOD_MS = 2_500;
+/** Hosts for which two read: messages of a reader stay under 3 KB a second. */
+const READER_TERMS: routing.ReaderTerms = { groupSize: 24, readers: 2 };
+/** A host reads by itself when its readers have been silent for this many periods: one message was lost, or a reader. */
+const SILENT_PERIODS = 1.3;
+
+/** How late the answer to a watch may be; a later one means that its connection is silent. */
+const LATE_WATCH_MS = 300;
+
+/** Tells hosts what was read in the store. */
+export type TellNews = (news: routing.StoreNews, hosts: readonly string[]) => void;
 
 /** What a host knows from the store: configuration, upstreams and other hosts. */
 export interface Knowledge {
     readonly inForce: () => routing.InForce | undefined;
     /** Addresses of the hosts that are registered, this one included. */
     readonly hosts: () => readonly string[];
-    /** Takes a configuration in that came by another way than the store. */
-    readonly offer: (configuration: routing.RoutedConfiguration, source: string) => void;
+    /** Takes in what another host read. */
+    readonly hear: (news: routing.StoreNews) => void;
+    /** Sets how other hosts are told what this one read; before, they are not. */
+    readonly tellBy: (tell: TellNews) => void;
 }
 
 /** What knowledge is kept with. */
@@ -37,123 +44,110 @@
     readonly host: string;
     /** Address at which other hosts reach this one. */
     readonly address: string;
+    readonly freshness: settings.Freshness;
 }
 
 /** Keeps knowledge up to date until the scope closes. */
 export function keepKnowledge(parts: KnowledgeParts): Knowledge {
-    const { scope, clock, log, registry, pool } = parts;
+    const { scope, clock, log, registry, freshness } = parts;
+    const shared = { scope, clock, log, metrics: parts.metrics };
+    const silenceMs = freshness.listingPeriodMs * SILENT_PERIODS;
     let inForce: routing.InForce | undefined;
-    let directory = routing.emptyDirectory;
     let hosts: readonly string[] = [parts.address];
-    const offer = (configuration: routing.RoutedConfiguration, source: string) => {
-        const next = routing.adopt(inForce, configuration, clock());
+    let tellNews: TellNews | undefined;
+    let group = routing.readerGroup(hosts, parts.address, READER_TERMS);
+    const version = () => inForce?.table.configuration.version ?? 0;
+    const directory = new directories.UpstreamDirectory(clock, log, parts.pool);
+    const tell = () => {
+        const mark = directory.mark;
+        if (tellNews && group.reader && mark && group.others.length > 0) {
+            const vouched = configuration.ageMs < freshness.configurationWatchMs + LATE_WATCH_MS;
+            const news = { revision: mark.revision, upstreams: mark.digest, ageMs: upstreams.ageMs };
+            tellNews({ ...news, configuration: vouched ? version() : undefined }, group.others);
+        }
+    };
+    const adopt = (read: decision.Outcome<routing.RoutedConfiguration | undefined>) => {
+        if (read.effect !== decision.Effect.Known || !read.value) {
+            return read;
+        }
+        const next = routing.adopt(inForce, read.value, clock());
         if (next !== inForce) {
             log.notice("configuration in force", {
-                version: configuration.version,
+                version: read.value.version,
                 formerVersion: inForce?.table.configuration.version,
-                source,
-                routes: configuration.routes.length,
+                routes: read.value.routes.length,
+                reader: group.reader,
             });
-            parts.metrics.configurationVersion.set(configuration.version);
+            parts.metrics.configurationVersion.set(read.value.version);
             inForce = next;
+            tell();
         }
+        return read;
     };
-    const followConfiguration = async () => {
-        const outcome = await registry.nextConfiguration(inForce?.table.configuration.version ?? 0);
-        if (outcome.effect === decision.Effect.Known && outcome.value) {
-            offer(outcome.value, "store");
-        }
-        return outcome;
-    };
-    const listUpstreams = async () => {
-        const asked = clock();
-        const outcome = await registry.listUpstreams();
-        if (outcome.effect === decision.Effect.Known) {
-            const terms = { outageMs: OUTAGE_MS, returnMs: RETURN_MS };
-            const next = routing.applyListing(directory, outcome.value, terms, asked, clock());
-            logChanges(log, directory, next);
-            directory = next;
-            pool.update(directory);
-        }
-        return outcome;
-    };
-    const announce = async () => {
+    const listHosts = async () => {
         const announced = await registry.announceHost(parts.host, parts.address);
         const listed = await registry.listHosts();
         if (listed.effect === decision.Effect.Known) {
             const next = [...new Set([...listed.value, parts.address])].sort();
             if (next.join() !== hosts.join()) {
-                log.notice("hosts changed", { hosts: next.length, former: hosts.length });
+                group = routing.readerGroup(next, parts.address, READER_TERMS);
+                log.notice("hosts changed", { hosts: next.length, former: hosts.length, reader: group.reader });
             }
             hosts = next;
         }
         return announced.effect === decision.Effect.Known ? listed : announced;
     };
-    repeat(parts, "configuration", 0, followConfiguration);
-    repeat(parts, "upstreams", LISTING_PERIOD_MS, listUpstreams);
-    repeat(parts, "hosts", ANNOUNCE_PERIOD_MS, announce);
+    const configuration = new reads.StoreRead({
+        ...shared,
+        what: "configuration",
+        waits: true,
+        // A reader waits for changes at the store, so it asks again at once.
+        limitMs: () => group.reader ? 0 : silenceMs,
+        read: async () => adopt(await (group.reader ? registry.nextConfiguration() : registry.readConfiguration())),
+    });
+    const upstreams = new reads.StoreRead({
+        ...shared,
+        what: "upstreams",
+        limitMs: () => group.reader ? freshness.listingPeriodMs : silenceMs,
+        read: async () => {
+            const asked = clock();
+            const outcome = await registry.listUpstreams();
+            if (outcome.effect === decision.Effect.Known) {
+                directory.listed(outcome.value, asked);
+            }
+            return outcome;
+        },
+        onRead: tell,
+    });
+    new reads.StoreRead({ ...shared, what: "hosts", limitMs: () => ANNOUNCE_PERIOD_MS, read: listHosts });
     scope.own(async () => {
         await registry.withdrawHost();
     });
-    return { inForce: () => inForce, hosts: () => hosts, offer };
-}
-
-/** Repeats a read of the store until the scope closes, and logs when it is lost and regained. */
-function repeat(
-    parts: KnowledgeParts,
-    what: string,
-    periodMs: decision.Milliseconds,
-    read: () => Promise<decision.Outcome<unknown>>,
-): void {
-    const { scope, clock, log, metrics } = parts;
-    let lostAt: decision.Milliseconds | undefined;
-    const once = async () => {
-        const startedAt = clock();
-        const outcome = await read();
-        const known = outcome.effect === decision.Effect.Known;
-        metrics.storeCalls.inc({ call: what, result: outcome.effect });
-        if (!known && lostAt === undefined) {
-            lostAt = startedAt;
-            log.notice("store lost", { read: what, reason: outcome.reason });
+    const hearConfiguration = (told: number | undefined) => {
+        if (told !== undefined && told > version()) {
+            // Beside a reader's own watch, whose connection may be silent.
+            void registry.readConfiguration().then(adopt);
         }
-        if (known && lostAt !== undefined) {
-            log.notice("store regained", { read: what, afterMs: Math.round(clock() - lostAt) });
-            lostAt = undefined;
-        }
-        const pauseMs = known ? Math.max(0, periodMs - (clock() - startedAt)) : RETRY_PAUSE_MS;
-        if (pauseMs > 0) {
-            await lifecycle.pause(scope, pauseMs);
+        else if (told === version() && !group.reader) {
+            configuration.confirm(0);
         }
     };
-    const loop = async () => {
-        while (!scope.closed) {
-            await once();
-        }
+    return {
+        inForce: () => inForce,
+        hosts: () => hosts,
+        tellBy: (tell) => tellNews = tell,
+        hear: (news) => {
+            hearConfiguration(news.configuration);
+            switch (directory.compare(news)) {
+                case routing.NewsComparison.Same:
+                    directory.confirmed(news.revision, news.ageMs);
+                    upstreams.confirm(news.ageMs);
+                    return;
+                case routing.NewsComparison.Newer:
+                    void upstreams.now();
+                    return;
+                case routing.NewsComparison.Older:
+            }
+        },
     };
-    void loop();
-}
-
-function logChanges(log: logs.DecisionLog, former: routing.Directory, next: routing.Directory): void {
-    for (const [id, { upstream, missingSince }] of next.known) {
-        const before = former.known.get(id);
-        if (
-            before?.upstream.state !== upstream.state
-            || before.upstream.startedAt !== upstream.startedAt
-            || before.missingSince !== missingSince
-        ) {
-            log.decision("upstream changed", {
-                upstream: id,
-                service: upstream.service,
-                address: upstream.address,
-                state: upstream.state,
-                stage: upstream.stage,
-                missing: missingSince !== undefined,
-            });
-        }
-    }
-    for (const id of former.known.keys()) {
-        if (!next.known.has(id)) {
-            log.decision("upstream gone", { upstream: id });
-        }
-    }
 }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -1,6 +1,7 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import type * as lifecycle from "@citronlead/lifecycle";
+import type * as routing from "@citronlead/routing";
 import * as dgram from "node:dgram";
 import type * as logs from "./log.js";
 import type * as settings from "./settings.js";
@@ -12,6 +13,8 @@
     Charged = "charged",
     /** Tells contents that were running when upstreams went down. */
     Crashes = "crashes",
+    /** Tells what a reader of the store saw. */
+    News = "news",
 }
 
 type Message =
@@ -23,7 +26,8 @@
         readonly cost: number;
     }
     | { readonly kind: MessageKind.Charged; readonly id: number; readonly answer: dispatch.QuotaAnswer; }
-    | { readonly kind: MessageKind.Crashes; readonly reports: readonly dispatch.CrashReport[]; };
+    | { readonly kind: MessageKind.Crashes; readonly reports: readonly dispatch.CrashReport[]; }
+    | { readonly kind: MessageKind.News; readonly news: routing.StoreNews; };
 
 /** Time after which a charge is asked for once more: hosts are a millisecond apart. */
 const ASK_AGAIN_MS = 12;
@@ -48,6 +52,8 @@
     ) => Promise<{ readonly answer: dispatch.QuotaAnswer; readonly decidedBy: string; }>;
     /** Tells all hosts of contents that were running when an upstream went down. */
     readonly tellCrashes: (reports: readonly dispatch.CrashReport[]) => void;
+    /** Tells some hosts what this one read in the store. */
+    readonly tellNews: (news: routing.StoreNews, hosts: readonly string[]) => void;
 }
 
 /** What peers are opened with. */
@@ -60,6 +66,7 @@
     readonly quotaTolerance: number;
     readonly quotaWindowMs: decision.Milliseconds;
     readonly onCrash: (report: dispatch.CrashReport) => void;
+    readonly onNews: (news: routing.StoreNews) => void;
 }
 
 /** Opens the port for messages between hosts. */
@@ -95,6 +102,9 @@
             case MessageKind.Crashes:
                 message.reports.forEach(parts.onCrash);
                 return;
+            case MessageKind.News:
+                parts.onNews(message.news);
+                return;
             case undefined:
                 log.decision("datagram not readable", { from: from.address, bytes: bytes.length });
         }
@@ -144,6 +154,7 @@
             }
             return { answer: chargeAlone(workspace, limit, cost), decidedBy: "own part" };
         },
+        tellNews: (news, hosts) => hosts.forEach((host) => send({ kind: MessageKind.News, news }, host)),
         tellCrashes: (reports) => {
             const tell = () => {
                 for (const host of parts.hosts().filter((address) => address !== self)) {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -7,6 +7,14 @@
     readonly port: number;
 }
 
+/** How fresh what a host knows from the store has to be. */
+export interface Freshness {
+    /** Period of listings of upstreams; half of the time in which a departure has to be known. */
+    readonly listingPeriodMs: decision.Milliseconds;
+    /** Longest wait of one watch for a configuration: the time in which one has to be in force. */
+    readonly configurationWatchMs: decision.Milliseconds;
+}
+
 /** Checked settings of a gateway process. */
 export interface GatewaySettings {
     readonly host: string;
@@ -24,4 +32,5 @@
     /** Span over which a workspace's rate and burst are counted. */
     readonly quotaWindowMs: decision.Milliseconds;
     readonly retries: dispatch.RetryTerms;
+    readonly freshness: Freshness;
 }
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -152,7 +152,9 @@
                 await lifecycle.pause(this.scope, 10);
                 return decision.known(this.configuration);
             },
-            listUpstreams: async () => decision.known(this.standIns.map(({ upstream }) => upstream)),
+            readConfiguration: async () => decision.known(this.configuration),
+            listUpstreams: async () =>
+                decision.known({ upstreams: this.standIns.map(({ upstream }) => upstream), revision: 1 }),
             announceHost: async () => decision.known(undefined),
             withdrawHost: async () => decision.known(undefined),
             listHosts: async () => decision.known([]),
@@ -168,6 +170,7 @@
                 stopPeriodMs: 3_000,
                 quotaTolerance: 0,
                 quotaWindowMs: 8_000,
+                freshness: { listingPeriodMs: 1_000, configurationWatchMs: 2_000 },
                 retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
             },
             wire,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,4 +6,5 @@
 export * from "./directory.js";
 export * from "./inforce.js";
 export * from "./routetable.js";
+export * from "./sharedreads.js";
 export * from "./upstream.js";
