--- a/packages/dispatch/src/waitingroom.ts
+++ b/packages/dispatch/src/waitingroom.ts
@@ -3,14 +3,15 @@
 /** A request that waits for room at an engine. */
 export interface Waiter {
     readonly id: number;
+    readonly arrivedAt: decision.Milliseconds;
     /** When the first event has to be out to be on time. */
     readonly targetAt: decision.Milliseconds;
     /** When the final answer is due at the latest. */
     readonly deadlineAt: decision.Milliseconds;
     /** Urgency, 0 first. */
     readonly priority: number;
-    /** Memory that it is expected to hold, summed over the steps of its answer: tokens times tokens. */
-    readonly occupancy: number;
+    /** Memory that it needs, in tokens. */
+    readonly tokens: number;
 }
 
 /** How long requests wait. */
@@ -92,9 +93,6 @@
     private compare(one: Waiter, other: Waiter, now: decision.Milliseconds): number {
         const oneLate = this.onTime(one, now) ? 0 : 1;
         const otherLate = this.onTime(other, now) ? 0 : 1;
-        return oneLate - otherLate
-            || one.priority - other.priority
-            || one.occupancy - other.occupancy
-            || one.targetAt - other.targetAt;
+        return oneLate - otherLate || one.priority - other.priority || one.targetAt - other.targetAt;
     }
 }
--- a/packages/gateway/src/roomqueue.ts
+++ b/packages/gateway/src/roomqueue.ts
@@ -44,10 +44,11 @@
         const id = ++this.lastId;
         const entered = this.room.enter({
             id,
+            arrivedAt: exchange.startedAt,
             targetAt: exchange.targetAt,
             deadlineAt: exchange.deadlineAt,
             priority: exchange.priority,
-            occupancy: exchange.tokens * exchange.expectedOutput,
+            tokens: exchange.tokens,
         });
         return entered ? id : undefined;
     }
