Let requests that missed their target try for room seldom

Waiters that missed their target stand behind the others of their host only; the waiters of other hosts that can still be on time compete with them for each engine that frees memory.

Late waiters now try every 200 ms, the others every 40 ms.

--- a/packages/gateway/src/roomqueue.ts
+++ b/packages/gateway/src/roomqueue.ts
@@ -7,6 +7,11 @@
 const TRY_PERIOD_MS = 40;
 /** Waiters that try in one period. */
 const TRIES_A_PERIOD = 2;
+/**
+ * Periods between tries of requests that missed their target. Other hosts may have some that can still be on time, which
+ * this host does not see; trying seldom leaves the room to them.
+ */
+const LATE_PERIODS = 5;
 /** Time from room at an engine to the first event of a mean request: a prefill and a first step. */
 const SERVICE_MS = 220;
 /** How long requests that missed their target still wait for memory that no other needs. */
@@ -29,9 +34,10 @@
     });
     private readonly wakers = new Map<number, (turn: Turn) => void>();
     private lastId = 0;
+    private period = 0;
 
     constructor(scope: lifecycle.Lifecycle, private readonly clock: decision.Clock) {
-        lifecycle.every(scope, TRY_PERIOD_MS, () => this.pump(TRIES_A_PERIOD));
+        lifecycle.every(scope, TRY_PERIOD_MS, () => this.pump(TRIES_A_PERIOD, ++this.period % LATE_PERIODS === 0));
     }
 
     /** Whether others wait that go before a newcomer. */
@@ -77,7 +83,7 @@
 
     /** Memory was freed on an engine: the next waiter may try. */
     freed(): void {
-        this.pump(1);
+        this.pump(1, true);
     }
 
     /** When a caller that is refused now finds room. The fraction, from 0 to 1, spreads callers. */
@@ -85,7 +91,7 @@
         return this.room.returnAfterMs(fraction, this.clock());
     }
 
-    private pump(tries: number): void {
+    private pump(tries: number, late: boolean): void {
         if (this.room.size === 0) {
             return;
         }
@@ -94,6 +100,9 @@
             this.wakers.get(waiter.id)?.(Turn.GiveUp);
         }
         for (const waiter of this.room.first(tries, now)) {
+            if (!late && !this.room.onTime(waiter, now)) {
+                continue;
+            }
             this.wakers.get(waiter.id)?.(Turn.Try);
         }
     }
