--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -8,7 +8,6 @@
 export * from "./quota.js";
 export * from "./rendezvous.js";
 export * from "./retrybudget.js";
-export * from "./sharedload.js";
 export * from "./suspects.js";
 export * from "./upstreamhealth.js";
 export * from "./waitingroom.js";
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -6,8 +6,6 @@
 export interface Candidate {
     readonly upstream: routing.Upstream;
     readonly health: health.UpstreamHealth;
-    /** Sends that other hosts have under way there, as far as they told. */
-    readonly elsewhere?: number;
 }
 
 /** What placement goes by. */
@@ -16,25 +14,21 @@
     readonly availabilityZone: string;
     /** Sends in flight that another zone must save before it is taken. */
     readonly zonePenalty: number;
-    /** Cost of a certain failure, in sends in flight. */
-    readonly failurePenalty: number;
-    /** Weight of the random part, in sends in flight: enough to spread equal upstreams, too little to hide load. */
-    readonly spread: number;
     /** Draws from 0 to 1; hosts that see equal upstreams must not all choose the same. */
     readonly random: () => number;
 }
 
-/** Cost of a failure that loses a request, in sends in flight. */
-export const FAILURE_PENALTY = 30;
-/** Spread of hosts that know only their own sends. */
-export const SPREAD = 0.9;
+/** A failed send costs the time of the send and of the next one, so failures weigh more than load. */
+const FAILURE_PENALTY = 30;
+/** Weight of the random part, in sends in flight: enough to spread equal upstreams, too little to hide load. */
+const SPREAD = 0.9;
 
 /** Expected cost of a send in units of one send in flight; smaller is better. */
-function cost({ upstream, health, elsewhere }: Candidate, terms: PlacementTerms, now: decision.Milliseconds): number {
-    const load = (health.inFlight + (elsewhere ?? 0) + 1) * Math.max(1, health.slownessRatio);
+function cost({ upstream, health }: Candidate, terms: PlacementTerms, now: decision.Milliseconds): number {
+    const load = (health.inFlight + 1) * Math.max(1, health.slownessRatio);
     const zone = upstream.availabilityZone === terms.availabilityZone ? 0 : terms.zonePenalty;
     const warmUp = upstream.warmUpLeftMs > 0 ? 1 : 0;
-    return load + zone + warmUp + terms.failurePenalty * health.failureShare(now) + terms.spread * terms.random();
+    return load + zone + warmUp + FAILURE_PENALTY * health.failureShare(now) + SPREAD * terms.random();
 }
 
 /**
--- a/packages/dispatch/test/decisions.test.ts
+++ b/packages/dispatch/test/decisions.test.ts
@@ -21,13 +21,7 @@
 
 describe("rank", () => {
     const random = decision.seeded(7);
-    const terms: dispatch.PlacementTerms = {
-        availabilityZone: "a",
-        zonePenalty: 1,
-        failurePenalty: 30,
-        spread: 0.9,
-        random: random.fraction,
-    };
+    const terms: dispatch.PlacementTerms = { availabilityZone: "a", zonePenalty: 1, random: random.fraction };
 
     it("spreads hosts that see equal upstreams", () => {
         const engines = Array.from({ length: 42 }, (_, index) => candidate(`e-${index}`));
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -4,7 +4,6 @@
 import type * as http from "node:http";
 import type * as exchanges from "./exchange.js";
 import type * as knowledges from "./knowledge.js";
-import type * as loadtellers from "./loadteller.js";
 import type * as logs from "./log.js";
 import type * as metrics from "./metrics.js";
 import type * as peers from "./peers.js";
@@ -27,10 +26,6 @@
     readonly pool: pools.UpstreamPool;
     readonly knowledge: knowledges.Knowledge;
     readonly peers: peers.Peers;
-    /** What other hosts have under way. */
-    readonly load: dispatch.SharedLoad;
-    /** Tells them what this one has. */
-    readonly loadTeller: loadtellers.LoadTeller;
     readonly retries: dispatch.RetryBudget;
     readonly outputs: dispatch.OutputForecast;
     readonly suspects: dispatch.Suspects;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,6 @@
 import type * as contexts from "./context.js";
 import type * as exchanges from "./exchange.js";
 import * as knowledges from "./knowledge.js";
-import * as loadtellers from "./loadteller.js";
 import * as logs from "./log.js";
 import * as metrics from "./metrics.js";
 import * as peers from "./peers.js";
@@ -52,7 +51,6 @@
     scope.own(() => agent.destroy());
     const pool = new pools.UpstreamPool((incarnation) => agent.forget(incarnation));
     const suspects = new dispatch.Suspects();
-    const load = new dispatch.SharedLoad();
     const knowledge = knowledges.keepKnowledge({
         scope,
         clock,
@@ -73,7 +71,6 @@
         quotaTolerance: settings.quotaTolerance,
         quotaWindowMs: settings.quotaWindowMs,
         onNews: knowledge.hear,
-        onLoad: (host, counts) => load.hear(host, counts, clock()),
         onCrash: (report) => {
             const crashes = suspects.add(report, clock());
             log.decision("content suspected", { ...report, crashes, source: "other host" });
@@ -92,8 +89,6 @@
         pool,
         knowledge,
         peers: peerPort,
-        load,
-        loadTeller: new loadtellers.LoadTeller({ scope, clock, hosts: knowledge.group, tell: peerPort.tellLoad }),
         retries: new dispatch.RetryBudget(settings.retries),
         outputs: new dispatch.OutputForecast(),
         suspects,
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -27,8 +27,6 @@
     readonly inForce: () => routing.InForce | undefined;
     /** Addresses of the hosts that are registered, this one included. */
     readonly hosts: () => readonly string[];
-    /** Other hosts that this one tells what it sees and has under way; a part of all in a large fleet. */
-    readonly group: () => readonly string[];
     /** Takes in what another host read. */
     readonly hear: (news: routing.StoreNews) => void;
     /** Sets how other hosts are told what this one read; before, they are not. */
@@ -137,7 +135,6 @@
     return {
         inForce: () => inForce,
         hosts: () => hosts,
-        group: () => group.others,
         tellBy: (tell) => tellNews = tell,
         hear: (news) => {
             hearConfiguration(news.configuration);
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -15,8 +15,6 @@
     Crashes = "crashes",
     /** Tells what a reader of the store saw. */
     News = "news",
-    /** Tells what a host has under way. */
-    Load = "load",
 }
 
 type Message =
@@ -29,8 +27,7 @@
     }
     | { readonly kind: MessageKind.Charged; readonly id: number; readonly answer: dispatch.QuotaAnswer; }
     | { readonly kind: MessageKind.Crashes; readonly reports: readonly dispatch.CrashReport[]; }
-    | { readonly kind: MessageKind.News; readonly news: routing.StoreNews; }
-    | { readonly kind: MessageKind.Load; readonly counts: dispatch.LoadCounts; };
+    | { readonly kind: MessageKind.News; readonly news: routing.StoreNews; };
 
 /** Time after which a charge is asked for once more: hosts are a millisecond apart. */
 const ASK_AGAIN_MS = 12;
@@ -57,8 +54,6 @@
     readonly tellCrashes: (reports: readonly dispatch.CrashReport[]) => void;
     /** Tells some hosts what this one read in the store. */
     readonly tellNews: (news: routing.StoreNews, hosts: readonly string[]) => void;
-    /** Tells some hosts what this one has under way. */
-    readonly tellLoad: (counts: dispatch.LoadCounts, hosts: readonly string[]) => void;
 }
 
 /** What peers are opened with. */
@@ -72,7 +67,6 @@
     readonly quotaWindowMs: decision.Milliseconds;
     readonly onCrash: (report: dispatch.CrashReport) => void;
     readonly onNews: (news: routing.StoreNews) => void;
-    readonly onLoad: (host: string, counts: dispatch.LoadCounts) => void;
 }
 
 /** Opens the port for messages between hosts. */
@@ -111,9 +105,6 @@
             case MessageKind.News:
                 parts.onNews(message.news);
                 return;
-            case MessageKind.Load:
-                parts.onLoad(`${from.address}:${from.port}`, message.counts);
-                return;
             case undefined:
                 log.decision("datagram not readable", { from: from.address, bytes: bytes.length });
         }
@@ -164,7 +155,6 @@
             return { answer: chargeAlone(workspace, limit, cost), decidedBy: "own part" };
         },
         tellNews: (news, hosts) => hosts.forEach((host) => send({ kind: MessageKind.News, news }, host)),
-        tellLoad: (counts, hosts) => hosts.forEach((host) => send({ kind: MessageKind.Load, counts }, host)),
         tellCrashes: (reports) => {
             const tell = () => {
                 for (const host of parts.hosts().filter((address) => address !== self)) {
--- a/packages/gateway/src/plainpath.ts
+++ b/packages/gateway/src/plainpath.ts
@@ -64,8 +64,6 @@
     const terms = {
         availabilityZone: context.settings.availabilityZone,
         zonePenalty: ZONE_PENALTY,
-        failurePenalty: dispatch.FAILURE_PENALTY,
-        spread: dispatch.SPREAD,
         random: context.random,
     };
     return dispatch.rank(context.pool.candidates(service), terms, context.clock())
--- a/packages/gateway/src/prefill.ts
+++ b/packages/gateway/src/prefill.ts
@@ -16,11 +16,7 @@
 /** Weight of the newest prefill in the mean time for a token. */
 const SPEED_WEIGHT = 0.1;
 /** Sends in flight that another availability zone must save: moving memory between zones takes twice as long. */
-const ZONE_PENALTY = 0.3;
-/** A prefill that fails costs the time of one more: it may be repeated. */
-const FAILURE_PENALTY = 8;
-/** Hosts tell each other their prefills, so only those of the same millisecond have to be spread. */
-const SPREAD = 0.25;
+const ZONE_PENALTY = 0.5;
 /** Time for the engine to free a handle. */
 const RELEASE_TIMEOUT_MS = 300;
 
@@ -40,16 +36,10 @@
     async prefill(exchange: exchanges.Exchange, decoder: routing.Upstream): Promise<Prefilled | undefined> {
         const { context, service } = exchange;
         const engines = context.pool.candidates(service)
-            .filter(({ upstream }) => upstream.stage === routing.EngineStage.Prefill)
-            .map((candidate) => ({
-                ...candidate,
-                elsewhere: context.load.at(candidate.upstream.id, context.clock()),
-            }));
+            .filter(({ upstream }) => upstream.stage === routing.EngineStage.Prefill);
         const terms = {
             availabilityZone: decoder.availabilityZone,
             zonePenalty: ZONE_PENALTY,
-            failurePenalty: FAILURE_PENALTY,
-            spread: SPREAD,
             random: context.random,
         };
         const ranked = dispatch.rank(engines, terms, context.clock());
@@ -73,7 +63,6 @@
         const { context, facts } = exchange;
         const startedAt = context.clock();
         candidate.health.inFlight++;
-        context.loadTeller.change(candidate.upstream.id, 1);
         try {
             const sent = await sends.send(exchange, candidate, {
                 call: "prefill",
@@ -98,7 +87,6 @@
         }
         finally {
             candidate.health.inFlight--;
-            context.loadTeller.change(candidate.upstream.id, -1);
         }
     }
 
--- a/packages/gateway/src/reservation.ts
+++ b/packages/gateway/src/reservation.ts
@@ -76,8 +76,6 @@
     const terms = {
         availabilityZone: context.settings.availabilityZone,
         zonePenalty: ZONE_PENALTY,
-        failurePenalty: dispatch.FAILURE_PENALTY,
-        spread: dispatch.SPREAD,
         random: context.random,
     };
     return dispatch.rank(engines, terms, context.clock());
