Weigh an upstream's failures by their share of its results

Ruled out: the suspension after a loss (0.5 s); letting it go on over single answers did not change the test's figure.

Failures now count against results, both with a half-life of 10 s, and five answers are credited. New test: a losing engine beside three busy ones gets 10 of 80 sends before, at most 4 now.

--- a/packages/dispatch/src/upstreamhealth.ts
+++ b/packages/dispatch/src/upstreamhealth.ts
@@ -16,10 +16,10 @@
 const FIRST_SUSPENSION_MS = 500;
 /** Crashed upstreams are back within seconds, so longer pauses would waste them. */
 const LONGEST_SUSPENSION_MS = 4_000;
-/** Weight of the newest result in the failure share. */
-const FAILURE_WEIGHT = 0.15;
-/** Half-life of the failure share while no result comes in. */
-const FAILURE_HALF_LIFE_MS = 5_000;
+/** Answers that an upstream is credited with before it has given any, so that one failure does not decide. */
+const CREDITED_ANSWERS = 5;
+/** Half-life of results in the failure share; an upstream that loses part of its answers does so for ten seconds and more. */
+const RESULT_HALF_LIFE_MS = 10_000;
 /** Weight of the newest duration in the mean. */
 const DURATION_WEIGHT = 0.2;
 /** How long after a refusal for lack of room other upstreams go first. */
@@ -27,8 +27,10 @@
 
 /** What is known of one incarnation of an upstream from this host's own sends. */
 export class UpstreamHealth {
+    /** Results and the failures among them, both faded by age. */
+    private results = 0;
     private failures = 0;
-    private failuresAt = 0;
+    private fadedAt = 0;
     private unreachableInRow = 0;
     private suspendedUntil: decision.Milliseconds = -Infinity;
     private fullUntil: decision.Milliseconds = -Infinity;
@@ -40,8 +42,10 @@
     record(result: SendResult, now: decision.Milliseconds): void {
         const failed = result === SendResult.Failed || result === SendResult.Unreachable;
         if (result !== SendResult.Full) {
-            this.failures = this.failureShare(now) * (1 - FAILURE_WEIGHT) + (failed ? FAILURE_WEIGHT : 0);
-            this.failuresAt = now;
+            const left = this.faded(now);
+            this.results = this.results * left + 1;
+            this.failures = this.failures * left + (failed ? 1 : 0);
+            this.fadedAt = now;
         }
         if (result === SendResult.Unreachable) {
             const pause = FIRST_SUSPENSION_MS * 2 ** this.unreachableInRow;
@@ -69,7 +73,8 @@
 
     /** Share of recent sends that failed, from 0 to 1. */
     failureShare(now: decision.Milliseconds): number {
-        return this.failures * 0.5 ** ((now - this.failuresAt) / FAILURE_HALF_LIFE_MS);
+        const left = this.faded(now);
+        return this.failures * left / (this.results * left + CREDITED_ANSWERS);
     }
 
     /** Whether the upstream gets no work but the first send after its pause. */
@@ -81,4 +86,8 @@
     full(now: decision.Milliseconds): boolean {
         return now < this.fullUntil;
     }
+
+    private faded(now: decision.Milliseconds): number {
+        return 0.5 ** ((now - this.fadedAt) / RESULT_HALF_LIFE_MS);
+    }
 }
--- a/packages/dispatch/test/decisions.test.ts
+++ b/packages/dispatch/test/decisions.test.ts
@@ -80,6 +80,28 @@
     });
 });
 
+describe("An engine that loses half of its answers while its health check is good", () => {
+    it("gets little work after the first seconds", () => {
+        const random = decision.seeded(11);
+        const terms = { availabilityZone: "a", zonePenalty: 0, random: random.fraction };
+        const engines = ["sound-1", "sound-2", "sound-3", "losing"].map((id) => candidate(id));
+        engines.slice(0, 3).forEach(({ health }) => health.inFlight = 4);
+        const sends = new Map<string, number>();
+        // One host at 4 requests a second for 24 s, whose sound engines are as busy as on a heavy day.
+        for (let now = 0; now < 24_000; now += 250) {
+            const chosen = dispatch.rank(engines, terms, now)[0] as dispatch.Candidate;
+            const { id } = chosen.upstream;
+            const lost = id === "losing" && random.fraction() < 0.45;
+            chosen.health.record(lost ? dispatch.SendResult.Unreachable : dispatch.SendResult.Answered, now + 200);
+            if (now >= 4_000) {
+                sends.set(id, (sends.get(id) ?? 0) + 1);
+            }
+        }
+        // An equal part would be 20 of 80 sends; a lost answer costs a caller the request.
+        chai.expect(sends.get("losing") ?? 0).to.be.at.most(4);
+    });
+});
+
 describe("maySendAgain", () => {
     const route = (kind: routing.RouteKind, resumable = false): routing.Route => ({
         name: "r",
