Take changed settings in while the process runs

Cause: a changed settings file was only logged and took effect at the next start, though its bounds (retry budget, tolerance of limits, periods of reads, time to stop) decide about requests at once.

--- a/packages/dispatch/src/retrybudget.ts
+++ b/packages/dispatch/src/retrybudget.ts
@@ -25,7 +25,7 @@
 export class RetryBudget {
     private readonly usage = new Map<string, Usage>();
 
-    constructor(private readonly terms: RetryTerms) {}
+    constructor(private readonly terms: () => RetryTerms) {}
 
     /** Counts a request of a caller for a service. */
     countRequest(service: string, now: decision.Milliseconds): void {
@@ -35,7 +35,8 @@
     /** How many more sends the service may get from this host now. */
     left(service: string, hosts: number, now: decision.Milliseconds): number {
         const { requests, extras } = this.current(service, now);
-        const allowed = SAFETY * (this.terms.ratio * requests.length + this.terms.extra / Math.max(1, hosts));
+        const { ratio, extra } = this.terms();
+        const allowed = SAFETY * (ratio * requests.length + extra / Math.max(1, hosts));
         return Math.floor(allowed - extras.length);
     }
 
@@ -51,8 +52,9 @@
     private current(service: string, now: decision.Milliseconds): Usage {
         const usage = this.usage.get(service) ?? { requests: [], extras: [] };
         this.usage.set(service, usage);
-        dropBefore(usage.requests, now - this.terms.windowMs);
-        dropBefore(usage.extras, now - this.terms.windowMs);
+        const { windowMs } = this.terms();
+        dropBefore(usage.requests, now - windowMs);
+        dropBefore(usage.extras, now - windowMs);
         return usage;
     }
 }
--- a/packages/dispatch/test/retrybudget.test.ts
+++ b/packages/dispatch/test/retrybudget.test.ts
@@ -12,7 +12,7 @@
             { maxLength: 400 },
         );
         fastCheck.assert(fastCheck.property(events, (list) => {
-            const budgets = Array.from({ length: HOSTS }, () => new dispatch.RetryBudget(TERMS));
+            const budgets = Array.from({ length: HOSTS }, () => new dispatch.RetryBudget(() => TERMS));
             const requests: number[] = [];
             const extras: number[] = [];
             let now = 0;
@@ -33,7 +33,7 @@
     });
 
     it("has room again once former sends have left the window", () => {
-        const budget = new dispatch.RetryBudget(TERMS);
+        const budget = new dispatch.RetryBudget(() => TERMS);
         while (budget.take("counter", HOSTS, 0)) {
             // Uses the budget up.
         }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
 import type * as http from "node:http";
+import * as util from "node:util";
 import * as callerservers from "./callerserver.js";
 import type * as contexts from "./context.js";
 import type * as exchanges from "./exchange.js";
@@ -23,12 +24,25 @@
 /** Period in which a stopping process looks whether its work is done. */
 const DRAIN_POLL_MS = 50;
 
+/** Settings that hold until the process ends. */
+const FIXED_FIELDS: ReadonlySet<keyof settings.GatewaySettings> = new Set([
+    "host",
+    "availabilityZone",
+    "callers",
+    "readiness",
+    "metrics",
+    "peers",
+    "quotaWindowMs",
+]);
+
 /** A gateway that runs. */
 export interface Gateway {
     /** Stops gracefully: out of rotation, requests under way to their end, then all is released. */
     readonly stop: () => Promise<void>;
-    /** Notes that the settings file changed. */
-    readonly noteReload: () => void;
+    /** Takes changed settings in: limits and periods at once, addresses and identity at the next start. */
+    readonly reload: (settings: settings.GatewaySettings) => void;
+    /** Keeps the settings in force, since changed ones cannot be used. */
+    readonly refuseReload: (reason: string) => void;
 }
 
 /** What a gateway is started with. */
@@ -42,6 +56,7 @@
 
 /** Starts a gateway with checked settings. */
 export async function startGateway({ settings, wire, registry, random }: GatewayParts): Promise<Gateway> {
+    let current = settings;
     const scope = new lifecycle.Lifecycle("gateway");
     const clock = lifecycle.monotonicClock;
     const measured = metrics.makeGatewayMetrics();
@@ -60,7 +75,7 @@
         pool,
         host: settings.host,
         address: `${settings.peers.address}:${settings.peers.port}`,
-        freshness: settings.freshness,
+        freshness: () => current.freshness,
     });
     const peerPort = await peers.openPeers({
         scope,
@@ -68,7 +83,7 @@
         log,
         listen: settings.peers,
         hosts: knowledge.hosts,
-        quotaTolerance: settings.quotaTolerance,
+        quotaTolerance: () => current.quotaTolerance,
         quotaWindowMs: settings.quotaWindowMs,
         onNews: knowledge.hear,
         onCrash: (report) => {
@@ -89,7 +104,7 @@
         pool,
         knowledge,
         peers: peerPort,
-        retries: new dispatch.RetryBudget(settings.retries),
+        retries: new dispatch.RetryBudget(() => current.retries),
         outputs: new dispatch.OutputForecast(),
         suspects,
         answerRefusal: (response, requestId, refusal) => answerRefusal(wire, response, requestId, refusal),
@@ -110,9 +125,9 @@
         const startedAt = clock();
         log.notice("stopping", { open: callers.open() });
         callers.leave();
-        await lifecycle.pause(scope, Math.min(ROTATION_MS, settings.stopPeriodMs / 3));
+        await lifecycle.pause(scope, Math.min(ROTATION_MS, current.stopPeriodMs / 3));
         callers.closeIdle();
-        while (callers.open() > 0 && clock() - startedAt < settings.stopPeriodMs * STOP_SHARE) {
+        while (callers.open() > 0 && clock() - startedAt < current.stopPeriodMs * STOP_SHARE) {
             await lifecycle.pause(scope, DRAIN_POLL_MS);
             callers.closeIdle();
         }
@@ -123,7 +138,16 @@
     let stopped: Promise<void> | undefined;
     return {
         stop: () => stopped ??= stop(),
-        noteReload: () => log.notice("settings file changed", { action: "read at the next start" }),
+        reload: (next) => {
+            const differs = (field: keyof settings.GatewaySettings) =>
+                !util.isDeepStrictEqual(next[field], current[field]);
+            const changed = (Object.keys(next) as (keyof settings.GatewaySettings)[]).filter(differs);
+            const atNextStart = changed.filter((field) => FIXED_FIELDS.has(field));
+            const kept = Object.fromEntries(atNextStart.map((field) => [field, current[field]]));
+            current = { ...next, ...kept };
+            log.notice("settings reloaded", { changed, atNextStart });
+        },
+        refuseReload: (reason) => log.notice("settings not reloaded", { reason }),
     };
 }
 
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -44,14 +44,14 @@
     readonly host: string;
     /** Address at which other hosts reach this one. */
     readonly address: string;
-    readonly freshness: settings.Freshness;
+    readonly freshness: () => settings.Freshness;
 }
 
 /** Keeps knowledge up to date until the scope closes. */
 export function keepKnowledge(parts: KnowledgeParts): Knowledge {
     const { scope, clock, log, registry, freshness } = parts;
     const shared = { scope, clock, log, metrics: parts.metrics };
-    const silenceMs = freshness.listingPeriodMs * SILENT_PERIODS;
+    const silenceMs = () => freshness().listingPeriodMs * SILENT_PERIODS;
     let inForce: routing.InForce | undefined;
     let hosts: readonly string[] = [parts.address];
     let tellNews: TellNews | undefined;
@@ -61,7 +61,7 @@
     const tell = () => {
         const mark = directory.mark;
         if (tellNews && group.reader && mark && group.others.length > 0) {
-            const vouched = configuration.ageMs < freshness.configurationWatchMs + LATE_WATCH_MS;
+            const vouched = configuration.ageMs < freshness().configurationWatchMs + LATE_WATCH_MS;
             const news = { revision: mark.revision, upstreams: mark.digest, ageMs: upstreams.ageMs };
             tellNews({ ...news, configuration: vouched ? version() : undefined }, group.others);
         }
@@ -102,13 +102,13 @@
         what: "configuration",
         waits: true,
         // A reader waits for changes at the store, so it asks again at once.
-        limitMs: () => group.reader ? 0 : silenceMs,
+        limitMs: () => group.reader ? 0 : silenceMs(),
         read: async () => adopt(await (group.reader ? registry.nextConfiguration() : registry.readConfiguration())),
     });
     const upstreams = new reads.StoreRead({
         ...shared,
         what: "upstreams",
-        limitMs: () => group.reader ? freshness.listingPeriodMs : silenceMs,
+        limitMs: () => group.reader ? freshness().listingPeriodMs : silenceMs(),
         read: async () => {
             const asked = clock();
             const outcome = await registry.listUpstreams();
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -63,7 +63,7 @@
     readonly log: logs.DecisionLog;
     readonly listen: settings.ListenAddress;
     readonly hosts: () => readonly string[];
-    readonly quotaTolerance: number;
+    readonly quotaTolerance: () => number;
     readonly quotaWindowMs: decision.Milliseconds;
     readonly onCrash: (report: dispatch.CrashReport) => void;
     readonly onNews: (news: routing.StoreNews) => void;
@@ -134,7 +134,7 @@
     const chargeAlone = (workspace: string, limit: dispatch.QuotaLimit, cost: number) =>
         alone.charge(
             workspace,
-            dispatch.cutOffLimit(limit, parts.quotaTolerance, parts.hosts().length),
+            dispatch.cutOffLimit(limit, parts.quotaTolerance(), parts.hosts().length),
             cost,
             clock(),
         );
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -145,8 +145,6 @@
     /** Starts the gateway and waits until it is ready. */
     async start(configuration: routing.RoutedConfiguration): Promise<void> {
         this.configuration = configuration;
-        const port = testing.testPortBase(this.portOffset);
-        const listen = (offset: number) => ({ address: "127.0.0.1", port: port + offset });
         const registry: gateway.Registry = {
             nextConfiguration: async () => {
                 await lifecycle.pause(this.scope, 10);
@@ -160,19 +158,7 @@
             listHosts: async () => decision.known([]),
         };
         this.started = await gateway.startGateway({
-            settings: {
-                host: "host-1",
-                availabilityZone: "a",
-                callers: listen(0),
-                readiness: listen(1),
-                metrics: { ...listen(2), path: "/metrics" },
-                peers: listen(3),
-                stopPeriodMs: 3_000,
-                quotaTolerance: 0,
-                quotaWindowMs: 8_000,
-                freshness: { listingPeriodMs: 1_000, configurationWatchMs: 2_000 },
-                retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
-            },
+            settings: this.settings,
             wire,
             registry: () => registry,
             random: () => 0.5,
@@ -182,6 +168,30 @@
         }
     }
 
+    /** The settings that the gateway starts with. */
+    get settings(): gateway.GatewaySettings {
+        const port = testing.testPortBase(this.portOffset);
+        const listen = (offset: number) => ({ address: "127.0.0.1", port: port + offset });
+        return {
+            host: "host-1",
+            availabilityZone: "a",
+            callers: listen(0),
+            readiness: listen(1),
+            metrics: { ...listen(2), path: "/metrics" },
+            peers: listen(3),
+            stopPeriodMs: 3_000,
+            quotaTolerance: 0,
+            quotaWindowMs: 8_000,
+            freshness: { listingPeriodMs: 1_000, configurationWatchMs: 2_000 },
+            retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
+        };
+    }
+
+    /** The gateway under test, once it is started. */
+    get gateway(): gateway.Gateway {
+        return this.started as gateway.Gateway;
+    }
+
     /** Stops the gateway gracefully. */
     async stop(): Promise<void> {
         await this.started?.stop();
--- a/packages/gateway/test/knowledge.test.ts
+++ b/packages/gateway/test/knowledge.test.ts
@@ -40,7 +40,7 @@
             pool: new pools.UpstreamPool(() => undefined),
             host: "host",
             address,
-            freshness: { listingPeriodMs: PERIOD_MS, configurationWatchMs: PERIOD_MS },
+            freshness: () => ({ listingPeriodMs: PERIOD_MS, configurationWatchMs: PERIOD_MS }),
             registry: {
                 readConfiguration,
                 nextConfiguration: async () => {
