--- a/packages/gateway/test/plainpath.test.ts
+++ b/packages/gateway/test/plainpath.test.ts
@@ -71,6 +71,18 @@
         }
     });
 
+    it("names the upstream that it means, and goes elsewhere if another one lives at its address", async () => {
+        both((received, response) =>
+            one.received.length + other.received.length === 1
+                ? response.writeHead(421).end()
+                : fixtures.signed(response, received, "done")
+        );
+        chai.expect((await fixture.send()).body).to.equal("done");
+        for (const { received, upstream } of [one, other]) {
+            chai.expect(received.map(({ headers }) => headers["upstream-id"])).to.deep.equal([upstream.id]);
+        }
+    });
+
     it("never sends a non-idempotent request twice once it may have run", async () => {
         both((_received, _response, request) => request.socket.destroy());
         const answer = await fixture.send();
