--- a/packages/dispatch/src/waitingroom.ts
+++ b/packages/dispatch/src/waitingroom.ts
@@ -3,15 +3,12 @@
 /** A request that waits for room at an engine. */
 export interface Waiter {
     readonly id: number;
-    readonly arrivedAt: decision.Milliseconds;
     /** When the first event has to be out to be on time. */
     readonly targetAt: decision.Milliseconds;
     /** When the final answer is due at the latest. */
     readonly deadlineAt: decision.Milliseconds;
     /** Urgency, 0 first. */
     readonly priority: number;
-    /** Memory that it needs, in tokens. */
-    readonly tokens: number;
 }
 
 /** How long requests wait. */
@@ -24,6 +21,8 @@
     readonly capacity: number;
 }
 
+/** Span over which the rate of departures is taken: long enough for some, short enough to follow a burst. */
+const RATE_WINDOW_MS = 2_000;
 /** Shortest wait that a caller is told: engines free memory within a few hundred milliseconds. */
 const SHORTEST_RETURN_MS = 300;
 
@@ -82,11 +81,10 @@
      * fraction, from 0 to 1, spreads callers over as much time again, so that they do not return as one wave.
      */
     returnAfterMs(fraction: number, now: decision.Milliseconds): decision.Milliseconds {
-        const windowMs = 2_000;
-        while (this.departures.length > 0 && (this.departures[0] as number) < now - windowMs) {
+        while (this.departures.length > 0 && (this.departures[0] as number) < now - RATE_WINDOW_MS) {
             this.departures.shift();
         }
-        const perMs = Math.max(1, this.departures.length) / windowMs;
+        const perMs = Math.max(1, this.departures.length) / RATE_WINDOW_MS;
         return Math.max(SHORTEST_RETURN_MS, this.waiters.size / perMs) * (1 + fraction);
     }
 
--- a/packages/dispatch/test/waitingroom.test.ts
+++ b/packages/dispatch/test/waitingroom.test.ts
@@ -2,7 +2,7 @@
 import * as dispatch from "../src/index.js";
 
 function waiter(id: number, change: Partial<dispatch.Waiter> = {}): dispatch.Waiter {
-    return { id, arrivedAt: 0, targetAt: 900, deadlineAt: 14_000, priority: 1, tokens: 5_000, ...change };
+    return { id, targetAt: 900, deadlineAt: 14_000, priority: 1, ...change };
 }
 
 describe("WaitingRoom", () => {
--- a/packages/gateway/src/roomqueue.ts
+++ b/packages/gateway/src/roomqueue.ts
@@ -50,11 +50,9 @@
         const id = ++this.lastId;
         const entered = this.room.enter({
             id,
-            arrivedAt: exchange.startedAt,
             targetAt: exchange.targetAt,
             deadlineAt: exchange.deadlineAt,
             priority: exchange.priority,
-            tokens: exchange.tokens,
         });
         return entered ? id : undefined;
     }
