Let hosts that follow readers ask a store that fails seldom

Cause: while the store was down or slow, every host tried each of its reads again after 250 ms.

Followers now pause for a period of listings after a failed read; the two readers of a group go on after 250 ms and tell the others when the store is back, which read at once then. The new test counts seven calls where four are allowed without the change.

--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -16,6 +16,13 @@
 /** A host reads by itself when its readers have been silent for this many periods: one message was lost, or a reader. */
 const SILENT_PERIODS = 1.3;
 
+/** Pause after a failed read: with the time-out of a call, one failure still leaves time for a departure. */
+const RETRY_PAUSE_MS = 250;
+/**
+ * Pause of hosts whose readers try as well, in periods: while the store is down, calls of the whole fleet would tell
+ * nothing more than those of its readers, who tell the others when it is back.
+ */
+const FOLLOWER_RETRY_PERIODS = 1;
 /** How late the answer to a watch may be; a later one means that its connection is silent. */
 const LATE_WATCH_MS = 300;
 
@@ -50,7 +57,8 @@
 /** Keeps knowledge up to date until the scope closes. */
 export function keepKnowledge(parts: KnowledgeParts): Knowledge {
     const { scope, clock, log, registry, freshness } = parts;
-    const shared = { scope, clock, log, metrics: parts.metrics };
+    const retryMs = () => group.reader ? RETRY_PAUSE_MS : freshness().listingPeriodMs * FOLLOWER_RETRY_PERIODS;
+    const shared = { scope, clock, log, metrics: parts.metrics, retryMs };
     const silenceMs = () => freshness().listingPeriodMs * SILENT_PERIODS;
     let inForce: routing.InForce | undefined;
     let hosts: readonly string[] = [parts.address];
--- a/packages/gateway/src/storeread.ts
+++ b/packages/gateway/src/storeread.ts
@@ -3,9 +3,6 @@
 import type * as logs from "./log.js";
 import type * as metrics from "./metrics.js";
 
-/** Pause after a failed read of the store: with the time-out of a call, one failure still leaves time for a departure. */
-const RETRY_PAUSE_MS = 250;
-
 /** What a read of the store is repeated with. */
 export interface StoreReadParts {
     readonly scope: lifecycle.Lifecycle;
@@ -16,6 +13,8 @@
     readonly what: string;
     /** How old what is known may get before it is read again. */
     readonly limitMs: () => decision.Milliseconds;
+    /** Pause after a read that failed. */
+    readonly retryMs: () => decision.Milliseconds;
     readonly read: () => Promise<decision.Outcome<unknown>>;
     /** Whether the read waits for changes: its answer is then as of its end. */
     readonly waits?: boolean;
@@ -51,9 +50,9 @@
     }
 
     private async repeat(): Promise<void> {
-        const { scope, clock, limitMs } = this.parts;
+        const { scope, clock, limitMs, retryMs } = this.parts;
         while (!scope.closed) {
-            const retryAt = this.lostAt === undefined ? -Infinity : this.triedAt + RETRY_PAUSE_MS;
+            const retryAt = this.lostAt === undefined ? -Infinity : this.triedAt + retryMs();
             const waitMs = Math.max(retryAt, this.knownAt + limitMs()) - clock();
             await (waitMs > 0 ? lifecycle.pause(scope, waitMs) : this.now());
         }
--- a/packages/gateway/test/knowledge.test.ts
+++ b/packages/gateway/test/knowledge.test.ts
@@ -26,8 +26,9 @@
     revision = 1;
     version = 1;
     upstreams: routing.Upstream[] = [];
+    storeDown = false;
 
-    constructor(address: string) {
+    constructor(address: string, periodMs: number) {
         const readConfiguration = async () => {
             this.configurationReads++;
             return decision.known(fixtures.makeConfiguration({ version: this.version }));
@@ -40,7 +41,7 @@
             pool: new pools.UpstreamPool(() => undefined),
             host: "host",
             address,
-            freshness: () => ({ listingPeriodMs: PERIOD_MS, configurationWatchMs: PERIOD_MS }),
+            freshness: () => ({ listingPeriodMs: periodMs, configurationWatchMs: periodMs }),
             registry: {
                 readConfiguration,
                 nextConfiguration: async () => {
@@ -49,6 +50,9 @@
                 },
                 listUpstreams: async () => {
                     this.listings++;
+                    if (this.storeDown) {
+                        return decision.noEffect("status 503");
+                    }
                     return decision.known({ upstreams: this.upstreams, revision: this.revision });
                 },
                 announceHost: async () => decision.known(undefined),
@@ -72,8 +76,8 @@
 
 describe("Knowledge of the store", () => {
     const started: Watched[] = [];
-    const start = async (reader: boolean) => {
-        const watched = new Watched(host(reader));
+    const start = async (reader: boolean, periodMs = PERIOD_MS) => {
+        const watched = new Watched(host(reader), periodMs);
         started.push(watched);
         await watched.settle();
         return watched;
@@ -124,6 +128,23 @@
         chai.expect(follower.knowledge.inForce()?.table.configuration.version).to.equal(2);
     });
 
+    it("is asked for seldom by a follower while the store is down, and read at once when a reader has it again", async () => {
+        const periodMs = 600;
+        const follower = await start(false, periodMs);
+        follower.storeDown = true;
+        await lifecycle.pause(follower.scope, periodMs * 2);
+        const before = follower.listings;
+        await lifecycle.pause(follower.scope, periodMs * 3);
+        // A reader tries each 250 ms, seven times in this span.
+        chai.expect(follower.listings - before).to.be.within(2, 4);
+        follower.storeDown = false;
+        follower.revision = 9;
+        const failed = follower.listings;
+        follower.knowledge.hear(follower.news({ upstreams: "other" }));
+        await lifecycle.pause(follower.scope, 20);
+        chai.expect(follower.listings).to.equal(failed + 1);
+    });
+
     it("is read by each host for itself while the readers are silent or cannot vouch for what they know", async () => {
         const follower = await start(false);
         const before = { listings: follower.listings, configurationReads: follower.configurationReads };
