Note excluded engines where their orders arrive in the orders test

The stand-in now reports each arriving order, and the test checks at that moment that the engine is excluded and unusable. As strict: both engines must be seen, and none may be usable.

--- a/packages/router/test/orders.test.ts
+++ b/packages/router/test/orders.test.ts
@@ -58,15 +58,19 @@
     let context: contexts.Context;
     let upstreamList: upstreams.Upstreams;
     let offset = PORT_OFFSET;
+    let orderArrived: (engineName: string) => void;
     let addresses: string[] = [];
 
     beforeEach(async () => {
         scope = new lifecycle.Scope("test");
         const port = testing.testPortBase(offset);
         offset += 20;
+        orderArrived = () => undefined;
         const rate = 1e12;
         await standins.startPlatform(scope, { address: "127.0.0.1", port, weightRateBytesPerSecond: rate });
-        addresses = await Promise.all([1, 2].map((index) => startEngine(scope, port, port + 10 + index)));
+        addresses = await Promise.all(
+            [1, 2].map((index) => startEngine(scope, port, port + 10 + index, (name) => orderArrived(name))),
+        );
         context = routerContexts.makeRouterContext(scope, 0, port);
         upstreamList = upstreams.followUpstreams(context);
         lifecycle.every(scope, 50, () => upstreamList.all(POOL).forEach((one) => void pollLoad(upstreamList, one)));
@@ -91,13 +95,18 @@
     it("keep new work from each engine while its order is prepared and carried out", async () => {
         const excluded = new Set<string>();
         const ordering = start(20, () => 7);
+        const notExcluded = new Set<string>();
+        orderArrived = (name) => {
+            const usable = upstreamList.usable(POOL).some((one) => one.name === name);
+            (ordering.excludedUpstreams().has(name) && !usable ? excluded : notExcluded).add(name);
+        };
         upstreamList.setExclusionSource(ordering.excludedUpstreams);
         lifecycle.every(scope, 5, () => {
-            ordering.excludedUpstreams().forEach((name) => excluded.add(name));
             const usable = upstreamList.usable(POOL).map((one) => one.name);
             chai.expect(usable.filter((name) => ordering.excludedUpstreams().has(name))).to.deep.equal([]);
         });
         await until("all changed", async () => (await versions()).every((version) => version === "2026-11"));
+        chai.expect([...notExcluded], "usable when their orders arrived").to.deep.equal([]);
         chai.expect(excluded.size).to.equal(2);
         await until("both back in service", async () => upstreamList.usable(POOL).length === 2);
     });
@@ -143,7 +152,12 @@
     }
 }
 
-async function startEngine(scope: lifecycle.Scope, platformPort: number, port: number): Promise<string> {
+async function startEngine(
+    scope: lifecycle.Scope,
+    platformPort: number,
+    port: number,
+    orderArrived: (engineName: string) => void,
+): Promise<string> {
     const address = `http://127.0.0.11:${port}`;
     await standins.startEngine(scope, {
         address: "127.0.0.11",
@@ -159,6 +173,7 @@
         survivalMs: 60_000,
         checksFencing: true,
         crash: () => undefined,
+        orderArrived: () => orderArrived(`engine-${port}`),
     });
     await fetch(`http://127.0.0.1:${platformPort}/hosts`, {
         method: "PUT",
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -43,6 +43,8 @@
     readonly checksFencing: boolean;
     /** Ends the process, simulating a crash. */
     readonly crash: () => void;
+    /** Called when an order arrives, before it is carried out. */
+    readonly orderArrived?: () => void;
 }
 
 const EXPIRY_PERIOD_MS = 20;
@@ -360,6 +362,7 @@
 
 function handleOrder(engine: Engine, call: exchange.Exchange): void {
     const body = exchange.readJson<OrderBody>(call);
+    engine.options.orderArrived?.();
     if (engine.options.checksFencing && body.fencing < engine.highestFencing) {
         sendRefusal(call, 409, "stale-fencing");
         return;
