Take back the charge of a request that no upstream got

Cause: a request that is refused for lack of capacity had been charged to its workspace, although quotas count only what runs. Change: a grant says in which bucket of its window it is counted; when a request ends without a send, the deciding host gets a refund by datagram. A lost refund expires with the window; an expired bucket takes none. Test: dispatch/test/quota (two of three charges refunded: 240 and more of 300 granted, no more run than the limit allows).

--- a/packages/dispatch/src/quota.ts
+++ b/packages/dispatch/src/quota.ts
@@ -10,7 +10,11 @@
 
 /** The result of charging a request to a workspace. */
 export type QuotaDecision =
-    | { readonly granted: true; }
+    | {
+        readonly granted: true;
+        /** Where the charge is counted, for a refund; undefined if the workspace has no limit. */
+        readonly bucket?: number;
+    }
     | {
         readonly granted: false;
         /** Time until the charge would be granted. */
@@ -53,11 +57,23 @@
             this.buckets[this.currentBucket % BUCKETS_PER_WINDOW] =
                 (this.buckets[this.currentBucket % BUCKETS_PER_WINDOW] as number) + cost;
             this.chargedUnits += cost;
-            return GRANTED;
+            return { granted: true, bucket: this.currentBucket };
         }
         return { granted: false, waitMs: this.timeUntilExpired(this.chargedUnits + needed - capacity) };
     }
 
+    /** Takes a charge back from its bucket, unless that has expired. */
+    refund(bucket: number, cost: number, now: decision.Milliseconds): void {
+        this.expireBuckets(now);
+        if (bucket > this.currentBucket || bucket <= this.currentBucket - BUCKETS_PER_WINDOW) {
+            return;
+        }
+        const index = bucket % BUCKETS_PER_WINDOW;
+        const units = Math.min(cost, this.buckets[index] as number);
+        this.buckets[index] = (this.buckets[index] as number) - units;
+        this.chargedUnits -= units;
+    }
+
     /**
      * Applies the limit of the newest configuration version; older versions are ignored. When the rate is lowered,
      * earlier charges are scaled down in proportion; otherwise nothing would be granted for a whole window.
@@ -121,6 +137,14 @@
         this.windows.set(workspace, window);
         return window.charge(limit, cost, now);
     }
+
+    /**
+     * Takes back a charge of a request that no upstream got. Answers bursts in which requests are refused for lack of
+     * capacity: what did not run does not count against the workspace's limit.
+     */
+    refund(workspace: string, bucket: number, cost: number, now: decision.Milliseconds): void {
+        this.windows.get(workspace)?.refund(bucket, cost, now);
+    }
 }
 
 /**
--- a/packages/dispatch/test/quota.test.ts
+++ b/packages/dispatch/test/quota.test.ts
@@ -76,6 +76,38 @@
         chai.expect(limiter.charge("north", LIMIT, 500, waitMs + 200).granted).to.equal(true);
     });
 
+    it("does not count refunded charges, and counts the others until their windows end", () => {
+        const limiter = new dispatch.QuotaLimiter(WINDOW_MS);
+        // The charges before the first window are unknown.
+        limiter.charge("north", LIMIT, 1, 0);
+        const outcomes = [];
+        for (let request = 0; request < 300; request++) {
+            const at = WINDOW_MS + request * 10;
+            const charge = limiter.charge("north", LIMIT, 100, at);
+            // Two of three requests find no capacity 100 ms later.
+            if (charge.granted && charge.bucket !== undefined && request % 3 > 0) {
+                limiter.refund("north", charge.bucket, 100, at + 100);
+            }
+            outcomes.push(charge.granted);
+        }
+        // 30,000 units are charged and 10,000 of them run, which is 1,000 beyond the limit of a window.
+        chai.expect(outcomes.indexOf(false)).to.be.above(240);
+        const ran = outcomes.filter((granted, request) => granted && request % 3 === 0).length * 100;
+        chai.expect(ran).to.be.at.most(9_000);
+    });
+
+    it("ignores refunds of charges that have expired", () => {
+        const limiter = new dispatch.QuotaLimiter(WINDOW_MS);
+        limiter.charge("north", LIMIT, 1, 0);
+        const old = limiter.charge("north", LIMIT, 1_000, WINDOW_MS);
+        for (let request = 0; request < 90; request++) {
+            limiter.charge("north", LIMIT, 100, 2 * WINDOW_MS + 500);
+        }
+        chai.expect(old.granted).to.equal(true);
+        limiter.refund("north", (old as { bucket: number; }).bucket, 1_000, 2 * WINDOW_MS + 500);
+        chai.expect(limiter.charge("north", LIMIT, 500, 2 * WINDOW_MS + 600).granted).to.equal(false);
+    });
+
     it("lets hosts without a reachable owner grant less than the limit in total", () => {
         const hostLimit = dispatch.fallbackLimit(LIMIT, 0, 9);
         chai.expect(hostLimit.ratePerSecond * 9).to.be.below(LIMIT.ratePerSecond);
--- a/packages/gateway/src/charge.ts
+++ b/packages/gateway/src/charge.ts
@@ -13,8 +13,9 @@
     const tokens = metadata.promptTokens + metadata.maxOutputTokens;
     const cost = workspace.unit === routing.RateUnit.Requests ? 1 : tokens > 0 ? tokens : workspace.defaultCostTokens;
     const limit = { ratePerSecond: workspace.ratePerSecond, burst: workspace.burst, version };
-    const { quotaDecision, decidedBy } = await context.peers.charge(workspace.name, limit, cost);
+    const { quotaDecision, decidedBy, refund } = await context.peers.charge(workspace.name, limit, cost);
     if (quotaDecision.granted) {
+        exchange.onEndedUnsent(refund);
         return true;
     }
     context.log.decision("over quota", {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -60,6 +60,8 @@
     readonly expectedOutput: dispatch.OutputLength;
     private finished = false;
     private callInFlight: CallRecord | undefined;
+    private sent = false;
+    private unsentCallback: (() => void) | undefined;
     /** Whether an upstream may have run the request. */
     mayHaveRun = false;
     /** Number of reservations that engines refused for lack of capacity. */
@@ -118,8 +120,17 @@
         return this.metadata.promptTokens + this.expectedOutput.high;
     }
 
+    /** Calls back when the request ends, at once if it has, unless it was sent to an upstream. */
+    onEndedUnsent(callback: () => void): void {
+        this.unsentCallback = callback;
+        if (this.finished) {
+            this.notifyUnsent();
+        }
+    }
+
     /** Records the start of a call, so that it is logged if the request ends while the call is in flight. */
     beginCall(call: string, upstream: string): void {
+        this.sent = true;
         this.callInFlight = { call, upstream, result: "under way", startedMs: this.elapsedMs(), tookMs: 0 };
     }
 
@@ -198,6 +209,13 @@
         }
     }
 
+    private notifyUnsent(): void {
+        if (!this.sent) {
+            this.unsentCallback?.();
+            this.unsentCallback = undefined;
+        }
+    }
+
     private finish(reason: FinalReason, status: number): void {
         this.finished = true;
         if (this.callInFlight) {
@@ -205,6 +223,7 @@
         }
         clearTimeout(this.deadlineTimer);
         this.abortController.abort();
+        this.notifyUnsent();
         this.context.logOutcome(this, reason, status);
     }
 }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -12,6 +12,8 @@
     Charge = "charge",
     /** Carries the decision on a charge. */
     ChargeReply = "charged",
+    /** Takes back a charge. */
+    Refund = "refund",
     /** Reports requests that were running when upstreams went down. */
     CrashReports = "crashes",
     /** Carries what a reader of the store has read. */
@@ -27,6 +29,12 @@
         readonly cost: number;
     }
     | { readonly kind: MessageKind.ChargeReply; readonly id: number; readonly answer: dispatch.QuotaDecision; }
+    | {
+        readonly kind: MessageKind.Refund;
+        readonly workspace: string;
+        readonly bucket: number;
+        readonly cost: number;
+    }
     | { readonly kind: MessageKind.CrashReports; readonly reports: readonly dispatch.CrashReport[]; }
     | { readonly kind: MessageKind.StoreUpdate; readonly news: routing.StoreUpdate; };
 
@@ -43,6 +51,15 @@
 /** Maximum number of reports in a datagram, so that it fits in an Ethernet frame. */
 const REPORTS_PER_DATAGRAM = 12;
 
+/** A charge that was decided. */
+export interface Charge {
+    readonly quotaDecision: dispatch.QuotaDecision;
+    /** The host that decided, or a word for this one. */
+    readonly decidedBy: string;
+    /** Takes the charge back, if it was granted. The message may be lost: then the charge expires with its window. */
+    readonly refund: () => void;
+}
+
 /** Messages between hosts, sent as UDP datagrams. */
 export interface Peers {
     /** Charges a workspace at its owner, or against this host's share of the limit while the owner does not respond. */
@@ -50,7 +67,7 @@
         workspace: string,
         limit: dispatch.QuotaLimit,
         cost: number,
-    ) => Promise<{ readonly quotaDecision: dispatch.QuotaDecision; readonly decidedBy: string; }>;
+    ) => Promise<Charge>;
     /** Reports to all hosts the requests that were running when an upstream went down. */
     readonly broadcastCrashes: (reports: readonly dispatch.CrashReport[]) => void;
     /** Sends what this host read in the store to the given hosts. */
@@ -103,6 +120,9 @@
             case MessageKind.ChargeReply:
                 pendingCharges.get(message.id)?.(message.answer);
                 return;
+            case MessageKind.Refund:
+                ownedQuotas.refund(message.workspace, message.bucket, message.cost, clock());
+                return;
             case MessageKind.CrashReports:
                 message.reports.forEach(options.onCrash);
                 return;
@@ -142,16 +162,37 @@
             cost,
             clock(),
         );
+    const makeCharge = (
+        quotaDecision: dispatch.QuotaDecision,
+        decidedBy: string,
+        refund: (bucket: number) => void,
+    ): Charge => ({
+        quotaDecision,
+        decidedBy,
+        refund: () => {
+            if (quotaDecision.granted && quotaDecision.bucket !== undefined) {
+                refund(quotaDecision.bucket);
+            }
+        },
+    });
     return {
         charge: async (workspace, limit, cost) => {
             const owner = dispatch.ownerOf(options.hosts(), workspace) ?? self;
             if (owner === self) {
-                return { quotaDecision: ownedQuotas.charge(workspace, limit, cost, clock()), decidedBy: "owner" };
+                return makeCharge(
+                    ownedQuotas.charge(workspace, limit, cost, clock()),
+                    "owner",
+                    (bucket) => ownedQuotas.refund(workspace, bucket, cost, clock()),
+                );
             }
             if (clock() >= (backoffUntilByOwner.get(owner) ?? 0)) {
                 const quotaDecision = await requestCharge(owner, workspace, limit, cost);
                 if (quotaDecision) {
-                    return { quotaDecision, decidedBy: owner };
+                    return makeCharge(
+                        quotaDecision,
+                        owner,
+                        (bucket) => send({ kind: MessageKind.Refund, workspace, bucket, cost }, owner),
+                    );
                 }
                 backoffUntilByOwner.set(owner, clock() + OWNER_BACKOFF_MS);
                 log.notice("quota owner did not respond; charging against the local share", {
@@ -159,7 +200,11 @@
                     pauseMs: OWNER_BACKOFF_MS,
                 });
             }
-            return { quotaDecision: chargeLocally(workspace, limit, cost), decidedBy: "local share" };
+            return makeCharge(
+                chargeLocally(workspace, limit, cost),
+                "local share",
+                (bucket) => fallbackQuotas.refund(workspace, bucket, cost, clock()),
+            );
         },
         sendStoreUpdate: (update, hosts) =>
             hosts.forEach((host) => send({ kind: MessageKind.StoreUpdate, news: update }, host)),
