Tell the store's eras apart, which come back from a copy with revisions given out again

Cause: after a drill the store may come back from a copy: acknowledged writes, leases and revisions since are gone and given out again. Hosts compared revisions and lease numbers across that: a reader's listing counted as older until the revisions had caught up, a watch went on from a revision of other changes, a host renewed a lease that may be another host's and never registered again, and upstreams that had left could be listed as ready. The view registers again within 0.4 s of the news, which readers pass on, and keeps the hosts it knew for 4 s. A configuration never reverts, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -81,6 +81,7 @@
         host: settings.host,
         address: `${settings.peers.address}:${settings.peers.port}`,
         freshness: () => current.freshness,
+        random,
     });
     const peerChannel = await peers.openPeers({
         scope,
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -127,7 +127,8 @@
                 message.reports.forEach(options.onCrash);
                 return;
             case MessageKind.StoreUpdate:
-                options.onStoreUpdate(message.news);
+                // Hosts of earlier builds send no era.
+                options.onStoreUpdate({ ...message.news, era: message.news.era ?? 0 });
                 return;
             case undefined:
                 log.decision("malformed datagram", { from: from.address, bytes: bytes.length });
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -4,11 +4,15 @@
 /** The upstreams that are registered at a revision of the store. */
 export interface UpstreamListing {
     readonly upstreams: readonly routing.Upstream[];
+    /** Era of the store; see `routing.ListingVersion`. */
+    readonly era: number;
     readonly revision: number;
 }
 
 /** Access to the platform's store of configuration, upstreams and hosts. Failures are returned as outcomes. */
 export interface Registry {
+    /** The latest era of the store that a response has shown. Responses of earlier eras are failures. */
+    readonly storeEra: () => number;
     /** Waits for a configuration that has not been read yet; undefined if none arrives within one watch. */
     readonly waitForConfiguration: () => Promise<decision.Outcome<routing.RoutingConfiguration | undefined>>;
     /** Reads the newest configuration; undefined if there is none. */
--- a/packages/gateway/src/store/directory.ts
+++ b/packages/gateway/src/store/directory.ts
@@ -8,7 +8,16 @@
 const OUTAGE_THRESHOLD_MS = 2_400;
 /** Time within which expired registrations reappear after an outage, plus one listing period as a margin. */
 const RECOVERY_MS = 2_800;
-const TIMING: routing.DirectoryTiming = { outageThresholdMs: OUTAGE_THRESHOLD_MS, recoveryMs: RECOVERY_MS };
+/** The platform's copies are some seconds old; twice the longest expected age. */
+const MAX_COPY_AGE_MS = 30_000;
+/** Three heartbeats of an upstream, plus one listing period as a margin. */
+const LAPSE_MS = 5_000;
+const TIMING: routing.DirectoryTiming = {
+    outageThresholdMs: OUTAGE_THRESHOLD_MS,
+    recoveryMs: RECOVERY_MS,
+    maxCopyAgeMs: MAX_COPY_AGE_MS,
+    lapseMs: LAPSE_MS,
+};
 
 /** Tracks the listings of upstreams in the store and updates the pool from them. */
 export class UpstreamDirectory {
@@ -28,10 +37,11 @@
     }
 
     /** Applies a listing that was requested at `requestedAt`. */
-    applyListing({ upstreams, revision }: registries.UpstreamListing, requestedAt: decision.Milliseconds): void {
+    applyListing({ upstreams, era, revision }: registries.UpstreamListing, requestedAt: decision.Milliseconds): void {
+        const restored = this.listingVersion !== undefined && era > this.listingVersion.era;
         this.listing = upstreams;
-        this.listingVersion = { revision, digest: routing.digestUpstreams(upstreams) };
-        this.apply(requestedAt);
+        this.listingVersion = { era, revision, digest: routing.digestUpstreams(upstreams) };
+        this.apply(requestedAt, restored);
     }
 
     /** Compares another host's listing to the newest one of this host. */
@@ -47,8 +57,8 @@
         }
     }
 
-    private apply(requestedAt: decision.Milliseconds): void {
-        const next = routing.applyListing(this.directory, this.listing, TIMING, requestedAt, this.clock());
+    private apply(requestedAt: decision.Milliseconds, restored = false): void {
+        const next = routing.applyListing(this.directory, this.listing, TIMING, requestedAt, this.clock(), restored);
         logChanges(this.log, this.directory, next);
         this.directory = next;
         this.pool.update(next);
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -1,5 +1,5 @@
 import * as decision from "@citronlead/decision";
-import type * as lifecycle from "@citronlead/lifecycle";
+import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import type * as logs from "../log.js";
 import type * as metrics from "../metrics.js";
@@ -26,6 +26,10 @@
  * no more than those of the readers, who send an update once the store is available again.
  */
 const FOLLOWER_RETRY_PERIODS = 1;
+/** Hosts register again within this time after the store has come back from a copy, not all at once. */
+const REREGISTRATION_SPREAD_MS = 400;
+/** How long hosts that were registered before count as registered: they need a reader's update and a call. */
+const HOST_RECOVERY_MS = 4_000;
 /** How late the response to a watch may be; beyond it the connection is considered dead. */
 const WATCH_TOLERANCE_MS = 300;
 
@@ -54,6 +58,8 @@
     /** Address at which other hosts reach this one. */
     readonly address: string;
     readonly freshness: () => settings.Freshness;
+    /** Draws a number in [0, 1). */
+    readonly random: () => number;
 }
 
 /** Keeps a view of the store up to date until the scope closes. */
@@ -73,7 +79,12 @@
         const listing = directory.version;
         if (publishUpdate && group.isReader && listing && group.otherHosts.length > 0) {
             const isFresh = configurationPoller.ageMs < freshness().configurationWatchMs + WATCH_TOLERANCE_MS;
-            const update = { revision: listing.revision, upstreams: listing.digest, ageMs: upstreamPoller.ageMs };
+            const update = {
+                era: listing.era,
+                revision: listing.revision,
+                upstreams: listing.digest,
+                ageMs: upstreamPoller.ageMs,
+            };
             publishUpdate({ ...update, configuration: isFresh ? version() : undefined }, group.otherHosts);
         }
     };
@@ -95,11 +106,29 @@
         }
         return read;
     };
+    let era = registry.storeEra();
+    let hostGraceUntil: decision.Milliseconds = -Infinity;
+    const checkEra = () => {
+        const latest = registry.storeEra();
+        // The first response of the store is no comeback.
+        if (latest > era && era > 0) {
+            log.notice("store came back from a copy", { era: latest, formerEra: era, hosts: hosts.length });
+            hostGraceUntil = clock() + HOST_RECOVERY_MS;
+            lifecycle.after(
+                scope,
+                options.random() * REREGISTRATION_SPREAD_MS,
+                () => void hostsPoller.refresh(),
+            );
+            void upstreamPoller.refresh();
+        }
+        era = Math.max(era, latest);
+    };
     const refreshHosts = async () => {
         const registered = await registry.registerHost(options.host, options.address);
         const listed = await registry.listHosts();
         if (listed.effect === decision.Effect.Known) {
-            const next = [...new Set([...listed.value, options.address])].sort();
+            const kept = clock() < hostGraceUntil ? hosts : [];
+            const next = [...new Set([...listed.value, ...kept, options.address])].sort();
             if (next.join() !== hosts.join()) {
                 group = routing.readerGroupOf(next, options.address, READER_GROUP_OPTIONS);
                 log.notice("hosts changed", { hosts: next.length, former: hosts.length, reader: group.isReader });
@@ -112,6 +141,7 @@
         ...sharedOptions,
         name: "configuration",
         longPoll: true,
+        onRead: checkEra,
         // A reader's call waits for changes at the store, so it is repeated at once.
         maxAgeMs: () => group.isReader ? 0 : maxSilenceMs(),
         read: async () =>
@@ -129,13 +159,17 @@
             }
             return outcome;
         },
-        onRead: publish,
+        onRead: () => {
+            publish();
+            checkEra();
+        },
     });
-    new pollers.StorePoller({
+    const hostsPoller: pollers.StorePoller = new pollers.StorePoller({
         ...sharedOptions,
         name: "hosts",
         maxAgeMs: () => REGISTRATION_RENEWAL_MS,
         read: refreshHosts,
+        onRead: checkEra,
     });
     scope.defer(async () => {
         await registry.unregisterHost();
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -146,13 +146,14 @@
     async start(configuration: routing.RoutingConfiguration): Promise<void> {
         this.configuration = configuration;
         const registry: gateway.Registry = {
+            storeEra: () => 1,
             waitForConfiguration: async () => {
                 await lifecycle.pause(this.scope, 10);
                 return decision.knownEffect(this.configuration);
             },
             readConfiguration: async () => decision.knownEffect(this.configuration),
             listUpstreams: async () =>
-                decision.knownEffect({ upstreams: this.standIns.map(({ upstream }) => upstream), revision: 1 }),
+                decision.knownEffect({ upstreams: this.standIns.map(({ upstream }) => upstream), era: 1, revision: 1 }),
             registerHost: async () => decision.knownEffect(undefined),
             unregisterHost: async () => decision.knownEffect(undefined),
             listHosts: async () => decision.knownEffect([]),
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -29,6 +29,9 @@
     version = 1;
     upstreams: routing.Upstream[] = [];
     storeDown = false;
+    era = 1;
+    registrations = 0;
+    listedHosts: readonly string[] = HOSTS;
 
     constructor(address: string, periodMs: number) {
         const readConfiguration = async () => {
@@ -44,7 +47,9 @@
             host: "host",
             address,
             freshness: () => ({ listingPeriodMs: periodMs, configurationWatchMs: periodMs }),
+            random: () => 0.5,
             registry: {
+                storeEra: () => this.era,
                 readConfiguration,
                 waitForConfiguration: async () => {
                     await lifecycle.pause(this.scope, PERIOD_MS / 2);
@@ -55,11 +60,18 @@
                     if (this.storeDown) {
                         return decision.noEffect("status 503");
                     }
-                    return decision.knownEffect({ upstreams: this.upstreams, revision: this.revision });
+                    return decision.knownEffect({
+                        upstreams: this.upstreams,
+                        era: this.era,
+                        revision: this.revision,
+                    });
+                },
+                registerHost: async () => {
+                    this.registrations++;
+                    return decision.knownEffect(undefined);
                 },
-                registerHost: async () => decision.knownEffect(undefined),
                 unregisterHost: async () => decision.knownEffect(undefined),
-                listHosts: async () => decision.knownEffect(HOSTS),
+                listHosts: async () => decision.knownEffect(this.listedHosts),
             },
         });
         this.view.setPublisher((update) => this.published.push(update));
@@ -67,7 +79,7 @@
 
     makeUpdate(change: Partial<routing.StoreUpdate> = {}): routing.StoreUpdate {
         const upstreams = routing.digestUpstreams(this.upstreams);
-        return { revision: this.revision, upstreams, ageMs: 0, configuration: this.version, ...change };
+        return { era: this.era, revision: this.revision, upstreams, ageMs: 0, configuration: this.version, ...change };
     }
 
     /** Waits until the hosts are listed and the first reads are done. */
@@ -157,4 +169,32 @@
         chai.expect(follower.listings - before.listings).to.be.within(2, 5);
         chai.expect(follower.configurationReads - before.configurationReads).to.be.within(2, 5);
     });
+
+    it("registers again and keeps the other hosts when the store has come back from a copy", async () => {
+        for (const isReader of [true, false]) {
+            const host = await start(isReader);
+            const before = { registrations: host.registrations, listings: host.listings };
+            const learnsFrom = host.makeUpdate({ era: 2, revision: 0 });
+            host.era = 2;
+            host.revision = 0;
+            host.listedHosts = [];
+            host.view.receiveUpdate(learnsFrom);
+            await lifecycle.pause(host.scope, 600);
+            chai.expect(host.listings, "listings").to.be.above(before.listings);
+            chai.expect(host.registrations, "registrations").to.equal(before.registrations + 1);
+            chai.expect(host.view.hosts()).to.deep.equal(HOSTS);
+        }
+    });
+
+    it("ignores the updates of readers that have not seen the new era", async () => {
+        const follower = await start(false);
+        follower.era = 2;
+        follower.revision = 0;
+        follower.view.receiveUpdate(follower.makeUpdate());
+        await lifecycle.pause(follower.scope, 20);
+        const before = follower.listings;
+        follower.view.receiveUpdate(follower.makeUpdate({ era: 1, revision: 900, upstreams: "other" }));
+        await lifecycle.pause(follower.scope, 20);
+        chai.expect(follower.listings).to.equal(before);
+    });
 });
--- a/packages/routing/src/readers.ts
+++ b/packages/routing/src/readers.ts
@@ -37,6 +37,8 @@
 
 /** What a reader sends to its group after a read. */
 export interface StoreUpdate {
+    /** Era of the store at the listing; see `ListingVersion`. */
+    readonly era: number;
     /** Store revision of the listing of upstreams. */
     readonly revision: number;
     /** Digest of the listed upstreams; see `digestUpstreams`. */
@@ -49,26 +51,31 @@
 
 /** Identifies a listing of upstreams. */
 export interface ListingVersion {
+    /** Rises by one each time the store comes back from a copy. Its revisions go back then, and are given out again. */
+    readonly era: number;
     readonly revision: number;
     readonly digest: string;
 }
 
 /** How another host's listing compares to this host's. */
 export enum ListingComparison {
-    /** The same upstreams, at the same or a later revision. */
+    /** The same upstreams, at the same or a later revision of the same era. */
     Same = "same",
-    /** Other upstreams, at the same or a later revision. */
+    /** A later era, or other upstreams at the same or a later revision. */
     Newer = "newer",
-    /** An earlier revision. */
+    /** An earlier era, or an earlier revision of the same era. */
     Older = "older",
 }
 
 /** Compares another host's listing to this host's own. */
 export function compareListing(own: ListingVersion | undefined, update: StoreUpdate): ListingComparison {
-    if (own && update.revision < own.revision) {
+    if (!own || update.era > own.era) {
+        return ListingComparison.Newer;
+    }
+    if (update.era < own.era || update.revision < own.revision) {
         return ListingComparison.Older;
     }
-    return own?.digest === update.upstreams ? ListingComparison.Same : ListingComparison.Newer;
+    return own.digest === update.upstreams ? ListingComparison.Same : ListingComparison.Newer;
 }
 
 /** Digest of the fields that affect routing. The other fields change with each heartbeat of an upstream. */
--- a/packages/routing/test/readers.test.ts
+++ b/packages/routing/test/readers.test.ts
@@ -66,11 +66,43 @@
     });
 
     it("do not confirm a listing by an earlier one", () => {
-        const update = { revision: 9, upstreams: "x", ageMs: 0, configuration: 1 };
+        const update = { era: 1, revision: 9, upstreams: "x", ageMs: 0, configuration: 1 };
         const compare = (own: routing.ListingVersion | undefined) => routing.compareListing(own, update);
         chai.expect(compare(undefined)).to.equal(routing.ListingComparison.Newer);
-        chai.expect(compare({ revision: 10, digest: "x" })).to.equal(routing.ListingComparison.Older);
-        chai.expect(compare({ revision: 8, digest: "x" })).to.equal(routing.ListingComparison.Same);
-        chai.expect(compare({ revision: 8, digest: "y" })).to.equal(routing.ListingComparison.Newer);
+        chai.expect(compare({ era: 1, revision: 10, digest: "x" })).to.equal(routing.ListingComparison.Older);
+        chai.expect(compare({ era: 1, revision: 8, digest: "x" })).to.equal(routing.ListingComparison.Same);
+        chai.expect(compare({ era: 1, revision: 8, digest: "y" })).to.equal(routing.ListingComparison.Newer);
+    });
+
+    it("order listings as the store made them, whatever revisions it gives out again", () => {
+        const number = (max: number) => fastCheck.integer({ min: 0, max });
+        const histories = fastCheck.array(fastCheck.record({ writes: number(5), copyAge: number(8) }), {
+            maxLength: 8,
+        });
+        fastCheck.assert(fastCheck.property(histories, number(40), number(40), (history, one, other) => {
+            const versions: routing.ListingVersion[] = [];
+            let revision = 10;
+            let count = 0;
+            history.forEach(({ writes, copyAge }, era) => {
+                for (let write = 0; write <= writes; write++) {
+                    versions.push({ era, revision: ++revision, digest: String(count++) });
+                }
+                revision -= copyAge;
+            });
+            const own = versions[one % Math.max(1, versions.length)];
+            const theirs = versions[other % Math.max(1, versions.length)];
+            if (!own || !theirs) {
+                return;
+            }
+            const update = { era: theirs.era, revision: theirs.revision, upstreams: theirs.digest };
+            const result = routing.compareListing(own, { ...update, ageMs: 0, configuration: undefined });
+            const order = Math.sign(versions.indexOf(theirs) - versions.indexOf(own));
+            const expected = [
+                routing.ListingComparison.Older,
+                routing.ListingComparison.Same,
+                routing.ListingComparison.Newer,
+            ][order + 1];
+            chai.expect(result).to.equal(expected);
+        }));
     });
 });
