Let late requests take only memory that a request on time would not need at once

Change: a request past its target first reserves the size of a typical request besides its own, gets its place only where both fit, and drops the first at once.

--- a/packages/dispatch/src/queue.ts
+++ b/packages/dispatch/src/queue.ts
@@ -57,9 +57,9 @@
         }
     }
 
-    /** Whether a waiter can still meet its latency target. */
-    canMeetTarget(waiter: Waiter, now: decision.Milliseconds): boolean {
-        return now + this.options.firstEventDelayMs <= waiter.targetAt;
+    /** Whether a request that gets capacity now meets a latency target. */
+    canMeetTarget(targetAt: decision.Milliseconds, now: decision.Milliseconds): boolean {
+        return now + this.options.firstEventDelayMs <= targetAt;
     }
 
     /** The first waiters in order, at most the given number. */
@@ -89,8 +89,8 @@
     }
 
     private compare(one: Waiter, other: Waiter, now: decision.Milliseconds): number {
-        const oneOverdue = this.canMeetTarget(one, now) ? 0 : 1;
-        const otherOverdue = this.canMeetTarget(other, now) ? 0 : 1;
+        const oneOverdue = this.canMeetTarget(one.targetAt, now) ? 0 : 1;
+        const otherOverdue = this.canMeetTarget(other.targetAt, now) ? 0 : 1;
         return oneOverdue - otherOverdue || one.priority - other.priority || one.targetAt - other.targetAt;
     }
 }
--- a/packages/gateway/src/model/queue.ts
+++ b/packages/gateway/src/model/queue.ts
@@ -35,6 +35,8 @@
         maxWaiters: MAX_WAITERS,
     });
     private readonly wakeCallbacks = new Map<number, (reason: WakeReason) => void>();
+    /** Sizes of the reservations of the service's requests. */
+    readonly typicalReservation = new dispatch.TypicalReservation();
     private lastId = 0;
     private periodCount = 0;
 
@@ -63,6 +65,11 @@
         return added ? id : undefined;
     }
 
+    /** Whether a request that gets capacity now meets its latency target. */
+    canMeetTarget({ latencyTargetAt }: exchanges.Exchange): boolean {
+        return this.queue.canMeetTarget(latencyTargetAt, this.clock());
+    }
+
     /** Waits until the waiter may try or has to give up. */
     waitForTurn(id: number, signal: AbortSignal): Promise<WakeReason> {
         return new Promise((resolve) => {
@@ -104,7 +111,7 @@
             this.wakeCallbacks.get(waiter.id)?.(WakeReason.GiveUp);
         }
         for (const waiter of this.queue.first(count, now)) {
-            if (!includeOverdue && !this.queue.canMeetTarget(waiter, now)) {
+            if (!includeOverdue && !this.queue.canMeetTarget(waiter.targetAt, now)) {
                 continue;
             }
             this.wakeCallbacks.get(waiter.id)?.(WakeReason.Try);
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -37,8 +37,9 @@
     exchange: exchanges.Exchange,
     queue: queues.CapacityQueue,
 ): Promise<Reservation | ReservationFailure> {
+    queue.typicalReservation.observe(exchange.reservedTokens);
     if (!queue.hasWaiters) {
-        const reservation = await tryReserve(exchange);
+        const reservation = await tryReserve(exchange, queue);
         if (typeof reservation !== "string") {
             return reservation;
         }
@@ -51,7 +52,7 @@
     let served = false;
     try {
         while (await queue.waitForTurn(id, exchange.signal) === queueing.WakeReason.Try) {
-            const reservation = await tryReserve(exchange);
+            const reservation = await tryReserve(exchange, queue);
             if (typeof reservation !== "string") {
                 served = true;
                 return reservation;
@@ -81,7 +82,10 @@
     return dispatch.rankCandidates(engines, options, context.clock());
 }
 
-async function tryReserve(exchange: exchanges.Exchange): Promise<Reservation | ReservationFailure> {
+async function tryReserve(
+    exchange: exchanges.Exchange,
+    queue: queues.CapacityQueue,
+): Promise<Reservation | ReservationFailure> {
     const { context } = exchange;
     const engines = rankDecodeEngines(exchange);
     const maxReservationMs = context.storeView.activeConfiguration()?.table.serviceByName.get(exchange.service)?.engine
@@ -92,26 +96,51 @@
     if (maxReservationMs === undefined) {
         return { candidate: engines[0] as dispatch.Candidate, id: undefined };
     }
+    const timeToLiveMs = Math.min(maxReservationMs, RESERVATION_TTL_MS);
+    const headroomTokens = dispatch.headroomTokens({
+        onTime: queue.canMeetTarget(exchange),
+        typicalTokens: queue.typicalReservation.tokens,
+    });
     for (const candidate of engines.slice(0, ENGINES_PER_ATTEMPT)) {
         if (exchange.isOver) {
             return ReservationFailure.GivenUp;
         }
-        const id = await reserve(exchange, candidate, Math.min(maxReservationMs, RESERVATION_TTL_MS));
-        if (id !== undefined) {
-            return { candidate, id };
+        const reservation = await reserveBesides(exchange, candidate, headroomTokens, timeToLiveMs);
+        if (reservation) {
+            return reservation;
         }
     }
     return ReservationFailure.Full;
 }
 
+/** Reserves capacity at an engine that has as much memory free besides as `headroomTokens`. */
+async function reserveBesides(
+    exchange: exchanges.Exchange,
+    candidate: dispatch.Candidate,
+    headroomTokens: number,
+    timeToLiveMs: decision.Milliseconds,
+): Promise<Reservation | undefined> {
+    if (headroomTokens === 0) {
+        return reserve(exchange, candidate, exchange.reservedTokens, timeToLiveMs);
+    }
+    const headroom = await reserve(exchange, candidate, headroomTokens, timeToLiveMs);
+    if (!headroom) {
+        return undefined;
+    }
+    const reservation = await reserve(exchange, candidate, exchange.reservedTokens, timeToLiveMs);
+    releaseReservation(exchange, headroom);
+    return reservation;
+}
+
 async function reserve(
     exchange: exchanges.Exchange,
     candidate: dispatch.Candidate,
+    tokens: number,
     timeToLiveMs: decision.Milliseconds,
-): Promise<string | undefined> {
+): Promise<Reservation | undefined> {
     const { context } = exchange;
     const startedAt = context.clock();
-    const call = context.wireFormat.reserveCall(exchange.reservedTokens, timeToLiveMs);
+    const call = context.wireFormat.reserveCall(tokens, timeToLiveMs);
     const outcome = await sends.callEngine(exchange, candidate, call, RESERVE_TIMEOUT_MS, undefined);
     const now = context.clock();
     if (outcome.effect !== decision.Effect.Known) {
@@ -124,11 +153,10 @@
         candidate.health.record(dispatch.SendResult.Full, now);
         context.metrics.sends.inc({ service: exchange.service, call: "reserve", result: "full" });
         exchange.refusedReservations++;
+        return undefined;
     }
-    else {
-        exchange.recordCall("reserve", candidate.upstream.id, "held", startedAt);
-    }
-    return id;
+    exchange.recordCall("reserve", candidate.upstream.id, "held", startedAt);
+    return { candidate, id };
 }
 
 /** Releases a reservation that will not be used. */
