Bound the memory of all buffered responses together

Cause: each response body may take 16 MB, and nothing bounded them together: 20 upstreams that send a body in chunks without end filled 320 MB within a second, beyond the memory limit of every host. Ruled out, by the same test: bytes before a status line, a head, interim responses, a body without a length, a trailer (Node's parser or the timeouts end them). Change: all buffered bodies may take 32 MB together, responses to control calls 64 KB each; beyond it the connection is closed. Test: gateway/test/endless, real sockets, 20 at once: 320 MB before, under 80 MB now.

--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -77,7 +77,8 @@
             if (sent.kind !== sends.SendKind.Response) {
                 return undefined;
             }
-            const body = await calls.readBody(sent.response, Math.min(exchange.remainingMs, QUEUE_ALLOWANCE_MS));
+            const timeoutMs = Math.min(exchange.remainingMs, QUEUE_ALLOWANCE_MS);
+            const body = await calls.readBody(sent.response, timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
             const handle = body && sent.response.statusCode === 200
                 ? context.wireFormat.parsePrefillHandle(sends.parseJson(body))
                 : undefined;
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -109,7 +109,7 @@
     }
     const wrongUpstream = response.statusCode === 421;
     if (metadata.notRun || wrongUpstream) {
-        await calls.readBody(response, REFUSAL_BODY_TIMEOUT_MS);
+        await calls.readBody(response, REFUSAL_BODY_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
         return {
             kind: SendKind.NotRun,
             result: wrongUpstream ? dispatch.SendResult.Replaced : dispatch.SendResult.Full,
@@ -180,7 +180,7 @@
             ? decision.noEffect(outcome.reason)
             : decision.unknownEffect(outcome.reason);
     }
-    const bytes = await calls.readBody(outcome.response, timeoutMs);
+    const bytes = await calls.readBody(outcome.response, timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
     if (!bytes) {
         return decision.unknownEffect("answer broken off");
     }
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -130,11 +130,21 @@
 
 /** Maximum size of a response body that is buffered before it is relayed. */
 const MAX_BUFFERED_BODY_BYTES = 16 * 1_048_576;
+/** Maximum size of all bodies that are buffered at a time: a part of the memory of the smallest hosts. */
+const MAX_TOTAL_BUFFERED_BYTES = 32 * 1_048_576;
+/** Maximum size of the body of a response to a control call, such as a reservation. */
+export const MAX_CONTROL_BODY_BYTES = 65_536;
 
-/** Reads a whole response body. Undefined if it is incomplete, too long or takes too long. */
+let totalBufferedBytes = 0;
+
+/**
+ * Reads a whole response body. Undefined if it is incomplete, longer than the limit, does not fit in memory beside the
+ * others, or takes too long; its connection is closed then.
+ */
 export function readBody(
     response: http.IncomingMessage,
     timeoutMs: decision.Milliseconds,
+    limitBytes = MAX_BUFFERED_BODY_BYTES,
 ): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
         const chunks: Buffer[] = [];
@@ -142,13 +152,15 @@
         const timer = setTimeout(() => response.destroy(), Math.max(1, timeoutMs));
         response.on("data", (chunk: Buffer) => {
             lengthBytes += chunk.length;
+            totalBufferedBytes += chunk.length;
             chunks.push(chunk);
-            if (lengthBytes > MAX_BUFFERED_BODY_BYTES) {
+            if (lengthBytes > limitBytes || totalBufferedBytes > MAX_TOTAL_BUFFERED_BYTES) {
                 response.destroy();
             }
         });
         response.on("close", () => {
             clearTimeout(timer);
+            totalBufferedBytes -= lengthBytes;
             resolve(isComplete(response) ? Buffer.concat(chunks) : undefined);
         });
     });
