--- a/packages/dispatch/src/queue.ts
+++ b/packages/dispatch/src/queue.ts
@@ -22,11 +22,7 @@
 }
 
 /** Window for the rate at which waiters are served: long enough to contain some, short enough to follow a burst. */
-const DEPARTURE_WINDOW_MS = 4_000;
-/** Share by which return times are spread. */
-const RETURN_SPREAD = 0.5;
-/** Longest time that a caller is told to wait: overloads seldom last longer. */
-const MAX_RETRY_AFTER_MS = 4_000;
+const DEPARTURE_WINDOW_MS = 2_000;
 /** Shortest Retry-After: engines free memory within a few hundred milliseconds. */
 const MIN_RETRY_AFTER_MS = 300;
 
@@ -38,8 +34,6 @@
 export class WaitQueue {
     private readonly waiters = new Map<number, Waiter>();
     private readonly servedTimes: decision.Milliseconds[] = [];
-    /** When the caller that was refused last was told to return. */
-    private lastReturnAt: decision.Milliseconds = -Infinity;
 
     constructor(private readonly options: WaitQueueOptions) {}
 
@@ -83,18 +77,15 @@
     }
 
     /**
-     * Retry-After for a refused caller: the time to serve the current waiters, and the callers that were refused before
-     * it, at the rate of the last seconds. `jitter`, from 0 to 1, spreads callers of different hosts.
+     * Retry-After for a refused caller: the time to serve the current waiters at the rate of the last seconds.
+     * `jitter`, from 0 to 1, spreads callers over as much time again, so that they do not all return at once.
      */
     retryAfterMs(jitter: number, now: decision.Milliseconds): decision.Milliseconds {
         while (this.servedTimes.length > 0 && (this.servedTimes[0] as number) < now - DEPARTURE_WINDOW_MS) {
             this.servedTimes.shift();
         }
         const servedPerMs = Math.max(1, this.servedTimes.length) / DEPARTURE_WINDOW_MS;
-        const waitersServedAt = now + Math.max(MIN_RETRY_AFTER_MS, this.waiters.size / servedPerMs);
-        const returnAt = Math.max(waitersServedAt, this.lastReturnAt + 1 / servedPerMs);
-        this.lastReturnAt = Math.min(returnAt, now + MAX_RETRY_AFTER_MS);
-        return (this.lastReturnAt - now) * (1 + RETURN_SPREAD * jitter);
+        return Math.max(MIN_RETRY_AFTER_MS, this.waiters.size / servedPerMs) * (1 + jitter);
     }
 
     private compare(one: Waiter, other: Waiter, now: decision.Milliseconds): number {
