Start no timers on a closed scope

Cause: a timer that was started after its scope had closed was never released, and its callback ran in a process that was stopping. Test: 'starts no timers once it is closed' failed before (the callbacks ran).

--- a/packages/lifecycle/src/timers.ts
+++ b/packages/lifecycle/src/timers.ts
@@ -5,8 +5,14 @@
 /** The monotonic clock of this process, in milliseconds. */
 export const monotonicClock: decision.Clock = () => perfHooks.performance.now();
 
-/** Runs a callback once after a delay in milliseconds, unless the scope closes first. Returns a cancel function. */
+/**
+ * Runs a callback once after a delay in milliseconds, unless the scope closes first or is closed. Returns a cancel
+ * function.
+ */
 export function after(scope: scopes.Scope, delayMs: decision.Milliseconds, callback: () => void): () => void {
+    if (scope.closed) {
+        return () => undefined;
+    }
     const timer = setTimeout(() => {
         void release();
         callback();
@@ -17,6 +23,9 @@
 
 /** Runs a callback periodically, every so many milliseconds, until the scope closes. */
 export function every(scope: scopes.Scope, periodMs: decision.Milliseconds, callback: () => void): void {
+    if (scope.closed) {
+        return;
+    }
     const timer = setInterval(callback, periodMs);
     scope.defer(() => clearInterval(timer));
 }
--- a/packages/lifecycle/test/lifecycle.test.ts
+++ b/packages/lifecycle/test/lifecycle.test.ts
@@ -37,4 +37,15 @@
         });
         chai.expect([failed, released]).to.deep.equal([true, true]);
     });
+
+    it("starts no timers once it is closed", async () => {
+        const scope = new lifecycle.Scope("test");
+        await scope.close();
+        let calls = 0;
+        lifecycle.after(scope, 1, () => calls++)();
+        lifecycle.after(scope, 1, () => calls++);
+        lifecycle.every(scope, 1, () => calls++);
+        await new Promise((resolve) => setTimeout(resolve, 30));
+        chai.expect(calls).to.equal(0);
+    });
 });
