--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -122,7 +122,7 @@
         scope,
         settings.readiness,
         wireFormat.readinessPath,
-        () => !stopping && storeView.activeConfiguration() !== undefined && pool.hasUpstreams,
+        () => !stopping && storeView.activeConfiguration() !== undefined && pool.hasAcceptingUpstreams,
     );
     await endpoints.openMetricsServer(scope, settings.metrics, settings.metrics.path, gatewayMetrics.registry);
     log.notice("started", { callers: settings.callers, metrics: settings.metrics });
--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -42,9 +42,11 @@
         return known?.state === routing.UpstreamState.Ready && known.startedAt === upstream.startedAt;
     }
 
-    /** Whether the directory contains any upstream, ready or draining. */
-    get hasUpstreams(): boolean {
-        return this.directory.entries.size > 0;
+    /** Whether any upstream of any service accepts new work. */
+    get hasAcceptingUpstreams(): boolean {
+        return [...this.directory.entries.values()].some(({ upstream }) =>
+            upstream.state === routing.UpstreamState.Ready
+        );
     }
 
     private healthOf(upstream: routing.Upstream): dispatch.UpstreamHealth {
