Revert the seldom retries of followers and the start as followers

Cause of the breaks, as far as read: a host that the store turns away, and whose readers are turned away too, waits up to five seconds with its next read of the configuration, after the store serves it again.

--- a/packages/gateway/src/store/poller.ts
+++ b/packages/gateway/src/store/poller.ts
@@ -12,8 +12,8 @@
     readonly name: string;
     /** Maximum age of the data before it is read again. */
     readonly maxAgeMs: () => decision.Milliseconds;
-    /** Delay after a failed read, given the number of reads that have failed in a row. */
-    readonly retryDelayMs: (failures: number) => decision.Milliseconds;
+    /** Delay after a failed read. */
+    readonly retryDelayMs: () => decision.Milliseconds;
     readonly read: () => Promise<decision.Outcome<unknown>>;
     /**
      * Whether the read waits for changes. Its result is then valid as of the end of the read, otherwise as of the
@@ -29,7 +29,6 @@
     private validAt: decision.Milliseconds = -Infinity;
     private attemptedAt: decision.Milliseconds = -Infinity;
     private failingSince: decision.Milliseconds | undefined;
-    private failures = 0;
     private readInFlight: Promise<void> | undefined;
 
     constructor(private readonly options: StorePollerOptions) {
@@ -41,16 +40,6 @@
         return this.options.clock() - this.validAt;
     }
 
-    /** Whether the last read failed. */
-    get isFailing(): boolean {
-        return this.failures > 0;
-    }
-
-    /** Time since the last read ended. */
-    get lastAttemptAgeMs(): decision.Milliseconds {
-        return this.options.clock() - this.attemptedAt;
-    }
-
     /** Records that another host read the same data the given time ago. */
     confirm(agoMs: decision.Milliseconds): void {
         this.validAt = Math.max(this.validAt, this.options.clock() - agoMs);
@@ -65,7 +54,7 @@
     private async run(): Promise<void> {
         const { scope, clock, maxAgeMs, retryDelayMs } = this.options;
         while (!scope.closed) {
-            const retryAt = this.isFailing ? this.attemptedAt + retryDelayMs(this.failures) : -Infinity;
+            const retryAt = this.failingSince === undefined ? -Infinity : this.attemptedAt + retryDelayMs();
             const waitMs = Math.max(retryAt, this.validAt + maxAgeMs()) - clock();
             await (waitMs > 0 ? lifecycle.pause(scope, waitMs) : this.refresh());
         }
@@ -78,14 +67,12 @@
         this.attemptedAt = clock();
         metrics.storeCalls.inc({ call: name, result: outcome.effect });
         if (outcome.effect !== decision.Effect.Known) {
-            this.failures++;
             if (this.failingSince === undefined) {
                 this.failingSince = startedAt;
                 log.notice("store unavailable", { read: name, reason: outcome.reason });
             }
             return;
         }
-        this.failures = 0;
         this.validAt = Math.max(this.validAt, longPoll ? this.attemptedAt : startedAt);
         if (this.failingSince !== undefined) {
             log.notice("store available again", { read: name, afterMs: Math.round(clock() - this.failingSince) });
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -19,8 +19,15 @@
  */
 const MAX_SILENT_PERIODS = 1.3;
 
-/** Hosts register again within this time after the store is back, not all at once. */
-const REGISTRATION_SPREAD_MS = 400;
+/** Delay after a failed read at a reader: short enough to notice a departure in time even after a call that timed out. */
+const READER_RETRY_DELAY_MS = 250;
+/**
+ * Delay after a failed read at a follower, in listing periods. While the store is down, calls of the whole fleet reveal
+ * no more than those of the readers, who send an update once the store is available again.
+ */
+const FOLLOWER_RETRY_PERIODS = 1;
+/** Hosts register again within this time after the store has come back from a copy, not all at once. */
+const REREGISTRATION_SPREAD_MS = 400;
 /** How long hosts that were registered before count as registered: they need a reader's update and a call. */
 const HOST_RECOVERY_MS = 4_000;
 /** How late the response to a watch may be; beyond it the connection is considered dead. */
@@ -58,27 +65,19 @@
 /** Keeps a view of the store up to date until the scope closes. */
 export function openStoreView(options: StoreViewOptions): StoreView {
     const { scope, clock, log, registry, freshness } = options;
-    const retryDelayMs = (failures: number) =>
-        routing.storeRetryDelayMs({
-            isReader: isReader(),
-            failures,
-            listingPeriodMs: freshness().listingPeriodMs,
-            jitter: options.random(),
-        });
+    const retryDelayMs = () =>
+        group.isReader ? READER_RETRY_DELAY_MS : freshness().listingPeriodMs * FOLLOWER_RETRY_PERIODS;
     const sharedOptions = { scope, clock, log, metrics: options.metrics, retryDelayMs };
     const maxSilenceMs = () => freshness().listingPeriodMs * MAX_SILENT_PERIODS;
     let active: routing.ActiveConfiguration | undefined;
     let hosts: readonly string[] = [options.address];
     let publishUpdate: PublishUpdate | undefined;
     let group = routing.readerGroupOf(hosts, options.address, READER_GROUP_OPTIONS);
-    let hostsListed = false;
-    // Until the hosts are listed, a starting fleet would consist of readers.
-    const isReader = () => hostsListed && group.isReader;
     const version = () => active?.table.configuration.version ?? 0;
     const directory = new directories.UpstreamDirectory(clock, log, options.pool);
     const publish = () => {
         const listing = directory.version;
-        if (publishUpdate && isReader() && listing && group.otherHosts.length > 0) {
+        if (publishUpdate && group.isReader && listing && group.otherHosts.length > 0) {
             const isFresh = configurationPoller.ageMs < freshness().configurationWatchMs + WATCH_TOLERANCE_MS;
             const update = {
                 era: listing.era,
@@ -99,7 +98,7 @@
                 version: read.value.version,
                 formerVersion: active?.table.configuration.version,
                 routes: read.value.routes.length,
-                reader: isReader(),
+                reader: group.isReader,
             });
             options.metrics.configurationVersion.set(read.value.version);
             active = next;
@@ -117,7 +116,7 @@
             hostGraceUntil = clock() + HOST_RECOVERY_MS;
             lifecycle.after(
                 scope,
-                options.random() * REGISTRATION_SPREAD_MS,
+                options.random() * REREGISTRATION_SPREAD_MS,
                 () => void hostsPoller.refresh(),
             );
             void upstreamPoller.refresh();
@@ -135,7 +134,6 @@
                 log.notice("hosts changed", { hosts: next.length, former: hosts.length, reader: group.isReader });
             }
             hosts = next;
-            hostsListed = true;
         }
         return registered.effect === decision.Effect.Known ? listed : registered;
     };
@@ -145,14 +143,14 @@
         longPoll: true,
         onRead: checkEra,
         // A reader's call waits for changes at the store, so it is repeated at once.
-        maxAgeMs: () => isReader() ? 0 : maxSilenceMs(),
+        maxAgeMs: () => group.isReader ? 0 : maxSilenceMs(),
         read: async () =>
-            adoptRead(await (isReader() ? registry.waitForConfiguration() : registry.readConfiguration())),
+            adoptRead(await (group.isReader ? registry.waitForConfiguration() : registry.readConfiguration())),
     });
     const upstreamPoller = new pollers.StorePoller({
         ...sharedOptions,
         name: "upstreams",
-        maxAgeMs: () => isReader() ? freshness().listingPeriodMs : maxSilenceMs(),
+        maxAgeMs: () => group.isReader ? freshness().listingPeriodMs : maxSilenceMs(),
         read: async () => {
             const requestedAt = clock();
             const outcome = await registry.listUpstreams();
@@ -181,23 +179,16 @@
             // A reader does this too, in addition to its watch, because the connection of the watch may be dead.
             void registry.readConfiguration().then(adoptRead);
         }
-        else if (receivedVersion === version() && !isReader()) {
+        else if (receivedVersion === version() && !group.isReader) {
             configurationPoller.confirm(0);
         }
     };
-    /** A reader reached the store, so a registration that failed may succeed now. */
-    const registerIfAvailable = () => {
-        if (hostsPoller.isFailing && hostsPoller.lastAttemptAgeMs > freshness().listingPeriodMs) {
-            lifecycle.after(scope, options.random() * REGISTRATION_SPREAD_MS, () => void hostsPoller.refresh());
-        }
-    };
     return {
         activeConfiguration: () => active,
         hosts: () => hosts,
         setPublisher: (publisher) => publishUpdate = publisher,
         receiveUpdate: (update) => {
             receiveConfigurationVersion(update.configuration);
-            registerIfAvailable();
             switch (directory.compareListing(update)) {
                 case routing.ListingComparison.Same:
                     directory.confirmListing(update.revision, update.ageMs);
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -148,8 +148,8 @@
         follower.storeDown = true;
         await lifecycle.pause(follower.scope, periodMs * 2);
         const before = follower.listings;
-        await lifecycle.pause(follower.scope, periodMs * 6);
-        // A reader would retry every 250 ms to every second, some five times in this period.
+        await lifecycle.pause(follower.scope, periodMs * 3);
+        // A reader would retry every 250 ms, seven times in this period.
         chai.expect(follower.listings - before).to.be.within(2, 4);
         follower.storeDown = false;
         follower.revision = 9;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,6 +6,5 @@
 export * from "./configuration.js";
 export * from "./directory.js";
 export * from "./readers.js";
-export * from "./storeretry.js";
 export * from "./table.js";
 export * from "./upstream.js";
