Repeat a failed listing at a follower at once, not when its data are old

When a reader's update announces other upstreams, a follower lists them; if that call failed, on a connection that went silent for example, nothing repeated it until the former data were 1.3 listing periods old, and then again after a whole period: more than drain_ms in all. Change: the first failure is followed by another read after 250 ms at every host, also after a read that an update caused. Test: 'reads again soon after a single failed read at a follower' saw no read before.

--- a/packages/gateway/src/store/poller.ts
+++ b/packages/gateway/src/store/poller.ts
@@ -12,8 +12,8 @@
     readonly name: string;
     /** Maximum age of the data before it is read again. */
     readonly maxAgeMs: () => decision.Milliseconds;
-    /** Delay after a failed read. */
-    readonly retryDelayMs: () => decision.Milliseconds;
+    /** Delay after a failed read, given the number of reads that have failed in a row. */
+    readonly retryDelayMs: (failures: number) => decision.Milliseconds;
     readonly read: () => Promise<decision.Outcome<unknown>>;
     /**
      * Whether the read waits for changes. Its result is then valid as of the end of the read, otherwise as of the
@@ -29,6 +29,7 @@
     private validAt: decision.Milliseconds = -Infinity;
     private attemptedAt: decision.Milliseconds = -Infinity;
     private failingSince: decision.Milliseconds | undefined;
+    private failures = 0;
     private readInFlight: Promise<void> | undefined;
 
     constructor(private readonly options: StorePollerOptions) {
@@ -54,12 +55,22 @@
     private async run(): Promise<void> {
         const { scope, clock, maxAgeMs, retryDelayMs } = this.options;
         while (!scope.closed) {
-            const retryAt = this.failingSince === undefined ? -Infinity : this.attemptedAt + retryDelayMs();
+            const retryAt = this.failures === 0 ? -Infinity : this.attemptedAt + retryDelayMs(this.failures);
             const waitMs = Math.max(retryAt, this.validAt + maxAgeMs()) - clock();
             await (waitMs > 0 ? lifecycle.pause(scope, waitMs) : this.refresh());
         }
     }
 
+    /** Repeats a failed read also while `run` waits for the data to age, as after a call of `refresh`. */
+    private scheduleRetry(): void {
+        const { scope, retryDelayMs } = this.options;
+        lifecycle.after(scope, retryDelayMs(this.failures), () => {
+            if (this.failures === 1) {
+                void this.refresh();
+            }
+        });
+    }
+
     private async readOnce(): Promise<void> {
         const { clock, log, metrics, name, longPoll, onRead } = this.options;
         const startedAt = clock();
@@ -67,12 +78,17 @@
         this.attemptedAt = clock();
         metrics.storeCalls.inc({ call: name, result: outcome.effect });
         if (outcome.effect !== decision.Effect.Known) {
+            this.failures++;
+            if (this.failures === 1) {
+                this.scheduleRetry();
+            }
             if (this.failingSince === undefined) {
                 this.failingSince = startedAt;
                 log.notice("store unavailable", { read: name, reason: outcome.reason });
             }
             return;
         }
+        this.failures = 0;
         this.validAt = Math.max(this.validAt, longPoll ? this.attemptedAt : startedAt);
         if (this.failingSince !== undefined) {
             log.notice("store available again", { read: name, afterMs: Math.round(clock() - this.failingSince) });
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -19,10 +19,13 @@
  */
 const MAX_SILENT_PERIODS = 1.3;
 
-/** Delay after a failed read at a reader: short enough to notice a departure in time even after a call that timed out. */
-const READER_RETRY_DELAY_MS = 250;
 /**
- * Delay after a failed read at a follower, in listing periods. While the store is down, calls of the whole fleet reveal
+ * Delay after a failed read at a reader, and after the first one at a follower: short enough to notice a departure in
+ * time even after a call that timed out, on a dead connection for example.
+ */
+const SHORT_RETRY_DELAY_MS = 250;
+/**
+ * Delay after further failed reads at a follower, in listing periods. While the store is down, calls of the whole fleet reveal
  * no more than those of the readers, who send an update once the store is available again.
  */
 const FOLLOWER_RETRY_PERIODS = 1;
@@ -65,8 +68,10 @@
 /** Keeps a view of the store up to date until the scope closes. */
 export function openStoreView(options: StoreViewOptions): StoreView {
     const { scope, clock, log, registry, freshness } = options;
-    const retryDelayMs = () =>
-        group.isReader ? READER_RETRY_DELAY_MS : freshness().listingPeriodMs * FOLLOWER_RETRY_PERIODS;
+    const retryDelayMs = (failures: number) =>
+        group.isReader || failures === 1
+            ? SHORT_RETRY_DELAY_MS
+            : freshness().listingPeriodMs * FOLLOWER_RETRY_PERIODS;
     const sharedOptions = { scope, clock, log, metrics: options.metrics, retryDelayMs };
     const maxSilenceMs = () => freshness().listingPeriodMs * MAX_SILENT_PERIODS;
     let active: routing.ActiveConfiguration | undefined;
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -159,6 +159,17 @@
         chai.expect(follower.listings).to.equal(failed + 1);
     });
 
+    it("reads again soon after a single failed read at a follower", async () => {
+        const follower = await start(false, 1_000);
+        follower.storeDown = true;
+        follower.view.receiveUpdate(follower.makeUpdate({ upstreams: "other" }));
+        await lifecycle.pause(follower.scope, 20);
+        follower.storeDown = false;
+        const before = follower.listings;
+        await lifecycle.pause(follower.scope, 400);
+        chai.expect(follower.listings).to.equal(before + 1);
+    });
+
     it("reads the store at each host while the readers' updates are missing or stale", async () => {
         const follower = await start(false);
         const before = { listings: follower.listings, configurationReads: follower.configurationReads };
