Let idle prefill engines decode where runs are long

Reservations and queueing cannot mend that. Change: dispatch.StageBalance finds, from the prompt sizes, prefill speed, run times and reservations that a host sees, whether the prefill engines left would be at most half used if one more engine decoded, while reservations are refused. One host of the fleet orders it: it holds a key in the store with its lease, proves that before each order, waits 13 s after taking it (engines carry orders out up to 12 s late), and expects that the engine has accepted no order, so each incarnation accepts one at most. The fencing token rises with era and revision.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -12,3 +12,4 @@
 export * from "./quota.js";
 export * from "./rendezvous.js";
 export * from "./retry.js";
+export * from "./stages.js";
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -10,6 +10,7 @@
 import * as queues from "./queue.js";
 import * as relays from "./relay.js";
 import * as reservations from "./reservation.js";
+import * as stages from "./stages.js";
 
 /** Maximum number of rounds of reservation, prefill and decode for one request. */
 const MAX_ROUNDS = 3;
@@ -31,7 +32,11 @@
     private readonly prefillClient = new prefills.PrefillClient();
     private readonly queues = new Map<string, queues.CapacityQueue>();
 
-    constructor(private readonly context: contexts.GatewayContext) {}
+    private readonly stageKeeper: stages.StageKeeper;
+
+    constructor(private readonly context: contexts.GatewayContext) {
+        this.stageKeeper = new stages.StageKeeper(context);
+    }
 
     /**
      * Serves a request: reserves capacity at a decode engine, runs the prefill, then decodes. Retries at other engines
@@ -46,7 +51,11 @@
             if (round > 0 && !this.context.retryBudget.tryAcquire(exchange.service, hostCount, this.context.clock())) {
                 break;
             }
+            const refusedBefore = exchange.refusedReservations;
             const reservation = await reservations.reserveCapacity(exchange, this.queueOf(exchange.service));
+            for (let refused = refusedBefore; refused < exchange.refusedReservations; refused++) {
+                this.stageKeeper.balanceOf(exchange.service).observeRefusal(this.context.clock());
+            }
             if (typeof reservation === "string") {
                 this.refuseForCapacity(exchange, reservation);
                 return;
@@ -89,10 +98,15 @@
         const { candidate } = reservation;
         candidate.health.inFlight++;
         try {
+            const startedAt = this.context.clock();
             const usePrefillEngine = !skipPrefill && candidate.upstream.stage === routing.EngineStage.Decode;
             const prefill = usePrefillEngine
                 ? await this.prefillClient.prefill(exchange, candidate.upstream)
                 : undefined;
+            if (prefill) {
+                this.stageKeeper.balanceOf(exchange.service)
+                    .observePrefill(exchange.metadata.promptTokens, this.context.clock() - startedAt);
+            }
             if (exchange.isOver) {
                 reservations.releaseReservation(exchange, reservation);
                 if (prefill) {
@@ -171,10 +185,13 @@
             response.destroy();
             return dispatch.SendEffect.MayHaveRun;
         }
+        const startedAt = this.context.clock();
         const end = await relays.relayEvents(exchange, response, progress, silenceMs);
         if (end === relays.RelayEnd.Complete) {
             this.context.crashSuspects.clear(exchange.contentHash);
             this.observeOutput(exchange);
+            const runMs = this.context.clock() - startedAt;
+            this.stageKeeper.balanceOf(exchange.service).observeRun(runMs, exchange.reservedTokens);
         }
         if (end !== relays.RelayEnd.Broken) {
             return undefined;
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -23,6 +23,11 @@
     readonly registerHost: (host: string, address: string) => Promise<decision.Outcome<undefined>>;
     /** Removes this host's registration. */
     readonly unregisterHost: () => Promise<decision.Outcome<undefined>>;
+    /**
+     * Takes a duty that one host of the fleet has, until its registration ends, or proves that this host has it. The
+     * value is the fencing token, which rises with each holder; undefined if another host has the duty.
+     */
+    readonly holdDuty: (host: string) => Promise<decision.Outcome<number | undefined>>;
     /** Lists the addresses of the registered hosts. */
     readonly listHosts: () => Promise<decision.Outcome<readonly string[]>>;
 }
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -2,6 +2,7 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
 import type * as http from "node:http";
+import type * as contexts from "./context.js";
 import type * as exchanges from "./exchange.js";
 import * as calls from "./upstream/call.js";
 import type * as wires from "./wire.js";
@@ -150,15 +151,28 @@
     }
 }
 
-/** Makes a control call to an engine, such as a reservation. The outcome holds the status and the parsed body. */
-export async function callEngine(
-    exchange: exchanges.Exchange,
+/** The response to a control call: its status and parsed body. */
+export type ControlOutcome = decision.Outcome<{ readonly status: number; readonly body: unknown; }>;
+
+/** Makes a control call to an engine for a request, such as a reservation. */
+export function callEngine(
+    { context }: exchanges.Exchange,
     { upstream }: dispatch.Candidate,
     call: wires.EngineCall,
     timeoutMs: decision.Milliseconds,
     signal: AbortSignal | undefined,
-): Promise<decision.Outcome<{ readonly status: number; readonly body: unknown; }>> {
-    const { context } = exchange;
+): Promise<ControlOutcome> {
+    return callUpstream(context, upstream, call, timeoutMs, signal);
+}
+
+/** Makes a control call to an engine. */
+export async function callUpstream(
+    context: contexts.GatewayContext,
+    upstream: routing.Upstream,
+    call: wires.EngineCall,
+    timeoutMs: decision.Milliseconds,
+    signal: AbortSignal | undefined,
+): Promise<ControlOutcome> {
     const body = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
     const outcome = await calls.startCall(context.agent, {
         upstream,
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -44,6 +44,8 @@
     readonly activeConfiguration: () => routing.ActiveConfiguration | undefined;
     /** Addresses of the registered hosts, including this one. */
     readonly hosts: () => readonly string[];
+    /** See `Registry.holdDuty`. */
+    readonly holdDuty: registries.Registry["holdDuty"];
     /** Handles an update from a reader. */
     readonly receiveUpdate: (update: routing.StoreUpdate) => void;
     /** Sets how updates are sent to other hosts; until then none are sent. */
@@ -191,6 +193,7 @@
     return {
         activeConfiguration: () => active,
         hosts: () => hosts,
+        holdDuty: registry.holdDuty,
         setPublisher: (publisher) => publishUpdate = publisher,
         receiveUpdate: (update) => {
             receiveConfigurationVersion(update.configuration);
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -1,4 +1,5 @@
 import type * as decision from "@citronlead/decision";
+import type * as routing from "@citronlead/routing";
 import type * as http from "node:http";
 
 /** Metadata in the headers of a caller's request. */
@@ -47,6 +48,15 @@
     readonly body: unknown;
 }
 
+/** An order to an engine to change its stage. */
+export interface StageOrder {
+    readonly stage: routing.EngineStage;
+    readonly holder: string;
+    readonly fencing: number;
+    /** Number of orders that the engine has accepted so far; it refuses the order if that differs. */
+    readonly expectedOrders: number;
+}
+
 /** Header names, paths and body formats of callers and upstreams, as the platform defines them. */
 export interface WireFormat {
     readonly parseRequest: (headers: http.IncomingHttpHeaders) => RequestMetadata;
@@ -71,6 +81,7 @@
     /** The reservation id in the response to a reserve call, or undefined if there is none. */
     readonly parseReservationId: (body: unknown) => string | undefined;
     readonly releaseReservationCall: (reservation: string) => EngineCall;
+    readonly stageOrderCall: (order: StageOrder) => EngineCall;
     readonly releasePrefillCall: (handle: string) => EngineCall;
     /** Path of the load balancer's readiness probe. */
     readonly readinessPath: string;
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -63,6 +63,7 @@
     reserveCall: (tokens, timeToLiveMs) => ({ method: "POST", path: "/reserve", body: { tokens, timeToLiveMs } }),
     parseReservationId: (body) => (body as { id?: string; } | undefined)?.id,
     releaseReservationCall: (reservation) => ({ method: "DELETE", path: `/reserve/${reservation}`, body: undefined }),
+    stageOrderCall: (order) => ({ method: "POST", path: "/order", body: order }),
     releasePrefillCall: (handle) => ({ method: "DELETE", path: `/prefill/${handle}`, body: undefined }),
     readinessPath: "/ready",
 };
@@ -154,6 +155,7 @@
             readConfiguration: async () => decision.knownEffect(this.configuration),
             listUpstreams: async () =>
                 decision.knownEffect({ upstreams: this.standIns.map(({ upstream }) => upstream), era: 1, revision: 1 }),
+            holdDuty: async () => decision.knownEffect(undefined),
             registerHost: async () => decision.knownEffect(undefined),
             unregisterHost: async () => decision.knownEffect(undefined),
             listHosts: async () => decision.knownEffect([]),
--- a/packages/gateway/test/replaced.test.ts
+++ b/packages/gateway/test/replaced.test.ts
@@ -28,13 +28,21 @@
         fixture = new fixtures.Fixture(2_480);
         const replaced = await fixture.addStandIn("replaced", { service: "model", stage: routing.EngineStage.Decode });
         await fixture.start(fixtures.makeConfiguration());
-        replaced.behave = (received, response) =>
-            received.path === "/reserve"
-                ? response.end(JSON.stringify({ id: "reservation" }))
-                : response.writeHead(421).end();
+        let refusedRuns = 0;
+        let lateReservations = 0;
+        replaced.behave = (received, response) => {
+            if (received.path !== "/reserve") {
+                refusedRuns += received.method === "DELETE" ? 0 : 1;
+                response.writeHead(421).end();
+                return;
+            }
+            lateReservations += refusedRuns > 0 ? 1 : 0;
+            response.end(JSON.stringify({ id: "reservation" }));
+        };
         const headers = { "prompt-tokens": "500", "output-tokens": "100" };
         const response = await fixture.send({ path: "/write/1", headers });
         chai.expect(response.status).to.equal(503);
-        chai.expect(replaced.received.filter(({ path }) => path === "/reserve")).to.have.length(1);
+        chai.expect(refusedRuns).to.equal(1);
+        chai.expect(lateReservations).to.equal(0);
     });
 });
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -66,6 +66,7 @@
                         revision: this.revision,
                     });
                 },
+                holdDuty: async () => decision.knownEffect(undefined),
                 registerHost: async () => {
                     this.registrations++;
                     return decision.knownEffect(undefined);
