Test that stalled streams end and slow ones go on

Here the time limit restarts with each complete event only; the test passed at once (a byte every 700 ms ends as incomplete, an event every 700 ms is relayed whole).

--- a/packages/gateway/test/model.test.ts
+++ b/packages/gateway/test/model.test.ts
@@ -111,6 +111,34 @@
         chai.expect(runs(decode).length + runs(spare).length).to.equal(1);
     });
 
+    it("ends a stalled stream that sends a byte now and then, and lets a slow one go on", async () => {
+        for (const [sent, isSound] of [[["d", "a", "t", "a"], false], [events, true]] as const) {
+            only(decode);
+            const respond = engine("decode", events);
+            decode.behave = (received, response, request) => {
+                if (!received.path.startsWith("/write/")) {
+                    respond(received, response, request);
+                    return;
+                }
+                response.writeHead(200, { "request-id": "r-1", "signature": "decode" });
+                let count = 0;
+                const timer = setInterval(() => {
+                    const part = sent[count++];
+                    if (part !== undefined) {
+                        response.write(part);
+                    }
+                    else if (isSound) {
+                        response.end();
+                    }
+                }, 700);
+                response.on("close", () => clearInterval(timer));
+            };
+            const response = await fixture.send({ path: "/write/1", headers: PROMPT });
+            chai.expect(response.complete && response.status === 200).to.equal(isSound);
+            chai.expect(response.tookMs).to.be.below(4_000);
+        }
+    });
+
     it("resumes at another engine after the last complete event if the route allows it", async () => {
         const resumed: (string | undefined)[] = [];
         let first = true;
