Count a gap between listings as an outage only if it is longer than gaps without one

Its listings come each 2 s and a follower that misses an update lists after 2.6 s; the constant of 2.4 s took that for an outage of the store, so that 163 of 194 hosts kept an engine that had left for 4 to 5 s.

--- a/packages/gateway/src/store/directory.ts
+++ b/packages/gateway/src/store/directory.ts
@@ -5,19 +5,29 @@
 import type * as pools from "../upstream/pool.js";
 
 /** A gap between listings after which registrations may have expired: two heartbeats of an upstream. */
-const OUTAGE_THRESHOLD_MS = 2_400;
+const MIN_OUTAGE_THRESHOLD_MS = 2_400;
+/**
+ * Without an outage, listings are up to 1.3 periods and one failed call apart; where periods are long, such a gap must not
+ * count as one and keep upstreams that have left.
+ */
+const MAX_GAP_PERIODS = 1.3;
+const FAILED_CALL_MS = 1_000;
 /** Time within which expired registrations reappear after an outage, plus one listing period as a margin. */
 const RECOVERY_MS = 2_800;
 /** The platform's copies are some seconds old; twice the longest expected age. */
 const MAX_COPY_AGE_MS = 30_000;
 /** Three heartbeats of an upstream, plus one listing period as a margin. */
 const LAPSE_MS = 5_000;
-const TIMING: routing.DirectoryTiming = {
-    outageThresholdMs: OUTAGE_THRESHOLD_MS,
-    recoveryMs: RECOVERY_MS,
-    maxCopyAgeMs: MAX_COPY_AGE_MS,
-    lapseMs: LAPSE_MS,
-};
+
+/** How missing registrations are treated, for a period between listings. */
+export function directoryTiming(listingPeriodMs: decision.Milliseconds): routing.DirectoryTiming {
+    return {
+        outageThresholdMs: Math.max(MIN_OUTAGE_THRESHOLD_MS, MAX_GAP_PERIODS * listingPeriodMs + FAILED_CALL_MS),
+        recoveryMs: RECOVERY_MS,
+        maxCopyAgeMs: MAX_COPY_AGE_MS,
+        lapseMs: LAPSE_MS,
+    };
+}
 
 /** Tracks the listings of upstreams in the store and updates the pool from them. */
 export class UpstreamDirectory {
@@ -29,6 +39,7 @@
         private readonly clock: decision.Clock,
         private readonly log: logs.DecisionLog,
         private readonly pool: pools.UpstreamPool,
+        private readonly listingPeriodMs: () => decision.Milliseconds,
     ) {}
 
     /** Version of the newest listing; undefined before the first. */
@@ -58,7 +69,8 @@
     }
 
     private apply(requestedAt: decision.Milliseconds, restored = false): void {
-        const next = routing.applyListing(this.directory, this.listing, TIMING, requestedAt, this.clock(), restored);
+        const timing = directoryTiming(this.listingPeriodMs());
+        const next = routing.applyListing(this.directory, this.listing, timing, requestedAt, this.clock(), restored);
         logChanges(this.log, this.directory, next);
         this.directory = next;
         this.pool.update(next);
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -81,7 +81,12 @@
     let publishUpdate: PublishUpdate | undefined;
     let group = routing.readerGroupOf(hosts, options.address, READER_GROUP_OPTIONS);
     const version = () => active?.table.configuration.version ?? 0;
-    const directory = new directories.UpstreamDirectory(clock, log, options.pool);
+    const directory = new directories.UpstreamDirectory(
+        clock,
+        log,
+        options.pool,
+        () => freshness().listingPeriodMs,
+    );
     const publish = () => {
         const listing = directory.version;
         if (publishUpdate && group.isReader && listing && group.otherHosts.length > 0) {
