--- a/packages/dispatch/src/forecast.ts
+++ b/packages/dispatch/src/forecast.ts
@@ -27,10 +27,7 @@
 const INITIAL_WEIGHT = 8;
 /** Maximum number of responses that the parameters are averaged over, so that they follow a change of the traffic. */
 const MAX_WEIGHT = 200;
-/**
- * Standard deviations above the median at which a length is high: one request in fifty exceeds it.
- * others leave unused.
- */
+/** Standard deviations above the median at which a length is high: one request in fifty exceeds it. */
 const HIGH_DEVIATIONS = 2.1;
 
 /** Mean and variance of the observed values, starting from assumed ones. */
--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -125,6 +125,6 @@
         exchange,
         prefill.candidate,
         call.path,
-        () => sends.callEngine(exchange, prefill.candidate, call, RELEASE_TIMEOUT_MS, undefined),
+        () => sends.callEngine(exchange.context, prefill.candidate, call, RELEASE_TIMEOUT_MS),
     );
 }
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -141,7 +141,7 @@
     const { context } = exchange;
     const startedAt = context.clock();
     const call = context.wireFormat.reserveCall(tokens, timeToLiveMs);
-    const outcome = await sends.callEngine(exchange, candidate, call, RESERVE_TIMEOUT_MS, undefined);
+    const outcome = await sends.callEngine(context, candidate, call, RESERVE_TIMEOUT_MS);
     const now = context.clock();
     if (outcome.effect !== decision.Effect.Known) {
         candidate.health.record(dispatch.SendResult.Unreachable, now);
@@ -167,7 +167,7 @@
             exchange,
             reservation.candidate,
             call.path,
-            () => sends.callEngine(exchange, reservation.candidate, call, RESERVE_TIMEOUT_MS, undefined),
+            () => sends.callEngine(exchange.context, reservation.candidate, call, RESERVE_TIMEOUT_MS),
         );
     }
 }
--- a/packages/gateway/src/model/stages.ts
+++ b/packages/gateway/src/model/stages.ts
@@ -10,14 +10,11 @@
 const CHECK_PERIOD_MS = 1_000;
 /** Pause between attempts to take the duty while another host has it. */
 const DUTY_RETRY_MS = 10_000;
-/**
- * Time from taking the duty to the first order. Orders of the former holder may still be carried out: engines do so up
- * to 12 s late, and its lease outlasts it by no more than that.
- */
+/** Time from taking the duty to the first order: engines may carry out those of the former holder up to 12 s late. */
 const TAKEOVER_MS = 13_000;
 /** Age of the proof of the duty beyond which no order is sent. */
 const MAX_PROOF_AGE_MS = 500;
-/** Time for an engine to finish its work and change its stage; it gets no other work meanwhile. */
+/** Time for an engine to finish its work and change its stage; no other engine is ordered meanwhile. */
 const CHANGE_MS = 15_000;
 const ORDER_TIMEOUT_MS = 500;
 
@@ -130,7 +127,7 @@
             // An incarnation accepts one order in all, also if this one arrives late or another host has sent one.
             expectedOrders: 0,
         });
-        const outcome = await sends.callUpstream(this.context, upstream, call, ORDER_TIMEOUT_MS, undefined);
+        const outcome = await sends.callEngine(this.context, candidate, call, ORDER_TIMEOUT_MS);
         log.notice("stage ordered", {
             service,
             upstream: upstream.id,
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -154,24 +154,12 @@
 /** The response to a control call: its status and parsed body. */
 export type ControlOutcome = decision.Outcome<{ readonly status: number; readonly body: unknown; }>;
 
-/** Makes a control call to an engine for a request, such as a reservation. */
-export function callEngine(
-    { context }: exchanges.Exchange,
-    { upstream }: dispatch.Candidate,
-    call: wires.EngineCall,
-    timeoutMs: decision.Milliseconds,
-    signal: AbortSignal | undefined,
-): Promise<ControlOutcome> {
-    return callUpstream(context, upstream, call, timeoutMs, signal);
-}
-
-/** Makes a control call to an engine. */
-export async function callUpstream(
+/** Makes a control call to an engine, such as a reservation. */
+export async function callEngine(
     context: contexts.GatewayContext,
-    upstream: routing.Upstream,
+    { upstream }: dispatch.Candidate,
     call: wires.EngineCall,
     timeoutMs: decision.Milliseconds,
-    signal: AbortSignal | undefined,
 ): Promise<ControlOutcome> {
     const body = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
     const outcome = await calls.startCall(context.agent, {
@@ -187,7 +175,7 @@
         ],
         body,
         headersTimeoutMs: timeoutMs,
-        signal,
+        signal: undefined,
     });
     if (outcome.progress !== calls.CallProgress.Responded) {
         return outcome.progress === calls.CallProgress.NotSent
