State the longest silence of readers once

Found in a last read of the change: 1.3 listing periods stood as two constants, and the threshold of an outage has to follow the time after which a host lists for itself. The value is unchanged.

--- a/packages/gateway/src/store/directory.ts
+++ b/packages/gateway/src/store/directory.ts
@@ -7,10 +7,14 @@
 /** A gap between listings after which registrations may have expired: two heartbeats of an upstream. */
 const MIN_OUTAGE_THRESHOLD_MS = 2_400;
 /**
- * Without an outage, listings are up to 1.3 periods and one failed call apart; where periods are long, such a gap must not
- * count as one and keep upstreams that have left.
+ * Listing periods without an update from the readers after which a host reads the store itself: such a silence
+ * means that a message or a reader was lost.
+ */
+export const MAX_SILENT_PERIODS = 1.3;
+/**
+ * Time for a call that fails and is repeated. Without an outage, listings are up to the longest silence and such a call
+ * apart; where periods are long, that gap must not count as an outage and keep upstreams that have left.
  */
-const MAX_GAP_PERIODS = 1.3;
 const FAILED_CALL_MS = 1_000;
 /** Time within which expired registrations reappear after an outage, plus one listing period as a margin. */
 const RECOVERY_MS = 2_800;
@@ -22,7 +26,7 @@
 /** How missing registrations are treated, for a period between listings. */
 export function directoryTiming(listingPeriodMs: decision.Milliseconds): routing.DirectoryTiming {
     return {
-        outageThresholdMs: Math.max(MIN_OUTAGE_THRESHOLD_MS, MAX_GAP_PERIODS * listingPeriodMs + FAILED_CALL_MS),
+        outageThresholdMs: Math.max(MIN_OUTAGE_THRESHOLD_MS, MAX_SILENT_PERIODS * listingPeriodMs + FAILED_CALL_MS),
         recoveryMs: RECOVERY_MS,
         maxCopyAgeMs: MAX_COPY_AGE_MS,
         lapseMs: LAPSE_MS,
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -13,12 +13,6 @@
 const REGISTRATION_RENEWAL_MS = 2_500;
 /** Two readers per 24 hosts: the messages of a reader stay under 3 KB per second. */
 const READER_GROUP_OPTIONS: routing.ReaderGroupOptions = { groupSize: 24, readers: 2 };
-/**
- * Listing periods without an update from the readers after which a host reads the store itself: such a silence
- * means that a message or a reader was lost.
- */
-const MAX_SILENT_PERIODS = 1.3;
-
 /**
  * Delay after a failed read at a reader, and after the first one at a follower: short enough to notice a departure in
  * time even after a call that timed out, on a dead connection for example.
@@ -75,7 +69,7 @@
             ? SHORT_RETRY_DELAY_MS
             : freshness().listingPeriodMs * FOLLOWER_RETRY_PERIODS;
     const sharedOptions = { scope, clock, log, metrics: options.metrics, retryDelayMs };
-    const maxSilenceMs = () => freshness().listingPeriodMs * MAX_SILENT_PERIODS;
+    const maxSilenceMs = () => freshness().listingPeriodMs * directories.MAX_SILENT_PERIODS;
     let active: routing.ActiveConfiguration | undefined;
     let hosts: readonly string[] = [options.address];
     let publishUpdate: PublishUpdate | undefined;
