Let gateway tests share how they make upstreams and replace runs

Found in a last read of the change: the same upstream was written out in four files, the timing of the directory in two, and the replaced run of the decode engine twice. No check changed.

--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -1,29 +1,16 @@
 import * as routing from "@citronlead/routing";
 import * as chai from "chai";
 import * as directories from "../src/store/directory.js";
+import * as fixtures from "./fixture.js";
 
 /** Longest time from an update of the readers until a host lists for itself, in listing periods. */
 const MAX_SILENT_PERIODS = 1.3;
 /** A call that times out, and the pause before it is repeated. */
 const FAILED_CALL_MS = 850;
 
-function makeUpstream(id: string): routing.Upstream {
-    return {
-        id,
-        service: "counter",
-        address: "127.0.0.1:9",
-        availabilityZone: "a",
-        state: routing.UpstreamState.Ready,
-        slots: 6,
-        stage: undefined,
-        startedAt: 1,
-        warmUpLeftMs: 0,
-    };
-}
-
 describe("directoryTiming", () => {
-    const staying = makeUpstream("staying");
-    const left = makeUpstream("left");
+    const staying = fixtures.makeUpstream("staying");
+    const left = fixtures.makeUpstream("left");
     const listAfter = (periodMs: number, gapMs: number) => {
         const timing = directories.directoryTiming(periodMs);
         const before = routing.applyListing(routing.emptyDirectory, [staying, left], timing, 0, 0);
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -86,6 +86,22 @@
     behave: Behaviour;
 }
 
+/** A registered upstream of a plain service. */
+export function makeUpstream(id: string, change: Partial<routing.Upstream> = {}): routing.Upstream {
+    return {
+        id,
+        service: "counter",
+        address: "127.0.0.1:9",
+        availabilityZone: "a",
+        state: routing.UpstreamState.Ready,
+        slots: 6,
+        stage: undefined,
+        startedAt: 1,
+        warmUpLeftMs: 0,
+        ...change,
+    };
+}
+
 /** Sends a signed response. */
 export function signed(response: http.ServerResponse, received: Received, body: string, status = 200): void {
     response.writeHead(status, { "request-id": text(received.headers["request-id"]) ?? "", "signature": "s" });
@@ -124,18 +140,7 @@
         });
         const { port } = server.address() as net.AddressInfo;
         const standIn: StandIn = {
-            upstream: {
-                id,
-                service: "counter",
-                address: `127.0.0.1:${port}`,
-                availabilityZone: "a",
-                state: routing.UpstreamState.Ready,
-                slots: 6,
-                stage: undefined,
-                startedAt: 1,
-                warmUpLeftMs: 0,
-                ...change,
-            },
+            upstream: makeUpstream(id, { address: `127.0.0.1:${port}`, ...change }),
             received: [],
             behave: (received, response) => signed(response, received, id),
         };
--- a/packages/gateway/test/model.test.ts
+++ b/packages/gateway/test/model.test.ts
@@ -54,6 +54,13 @@
         (standIn === decode ? spare : decode).behave = full;
     };
 
+    /** How the decode engine responds to runs; it accepts reservations as before. */
+    const onRun = (behave: fixtures.Behaviour) => {
+        const respond = engine("decode", events);
+        decode.behave = (received, response, request) =>
+            (received.path.startsWith("/write/") ? behave : respond)(received, response, request);
+    };
+
     it("reserves memory, runs the prefill at another engine and decodes from its handle", async () => {
         only(decode);
         const response = await fixture.send({ path: "/write/1", method: "POST", body: "prompt", headers: PROMPT });
@@ -95,16 +102,11 @@
 
     it("aborts a broken stream that cannot be resumed and does not run it again", async () => {
         only(decode);
-        const respond = engine("decode", events);
-        decode.behave = (received, response, request) => {
-            if (!received.path.startsWith("/write/")) {
-                respond(received, response, request);
-                return;
-            }
+        onRun((_, response, request) => {
             response.writeHead(200, { "request-id": "r-1", "signature": "decode" });
             response.write(`${events[0]}id: 2\nda`);
             setTimeout(() => request.socket.resetAndDestroy(), 30);
-        };
+        });
         const response = await fixture.send({ path: "/write/1", headers: PROMPT });
         chai.expect(response.complete).to.equal(false);
         chai.expect(response.body).to.equal(events[0]);
@@ -114,12 +116,7 @@
     it("ends a stalled stream that sends a byte now and then, and lets a slow one go on", async () => {
         for (const [sent, isSound] of [[["d", "a", "t", "a"], false], [events, true]] as const) {
             only(decode);
-            const respond = engine("decode", events);
-            decode.behave = (received, response, request) => {
-                if (!received.path.startsWith("/write/")) {
-                    respond(received, response, request);
-                    return;
-                }
+            onRun((_, response) => {
                 response.writeHead(200, { "request-id": "r-1", "signature": "decode" });
                 let count = 0;
                 const timer = setInterval(() => {
@@ -132,7 +129,7 @@
                     }
                 }, 700);
                 response.on("close", () => clearInterval(timer));
-            };
+            });
             const response = await fixture.send({ path: "/write/1", headers: PROMPT });
             chai.expect(response.complete && response.status === 200).to.equal(isSound);
             chai.expect(response.tookMs).to.be.below(4_000);
--- a/packages/gateway/test/pool.test.ts
+++ b/packages/gateway/test/pool.test.ts
@@ -1,27 +1,10 @@
 import * as routing from "@citronlead/routing";
 import * as chai from "chai";
+import * as directories from "../src/store/directory.js";
 import * as pools from "../src/upstream/pool.js";
+import * as fixtures from "./fixture.js";
 
-const TIMING: routing.DirectoryTiming = {
-    outageThresholdMs: 2_400,
-    recoveryMs: 2_500,
-    maxCopyAgeMs: 20_000,
-    lapseMs: 4_000,
-};
-
-function makeUpstream(id: string, state: routing.UpstreamState): routing.Upstream {
-    return {
-        id,
-        service: "counter",
-        address: "127.0.0.1:9",
-        availabilityZone: "a",
-        state,
-        slots: 6,
-        stage: undefined,
-        startedAt: 1,
-        warmUpLeftMs: 0,
-    };
-}
+const TIMING = directories.directoryTiming(1_000);
 
 describe("UpstreamPool", () => {
     it("has no accepting upstreams while all of them drain", () => {
@@ -30,9 +13,9 @@
         const show = (...upstreams: routing.Upstream[]) =>
             pool.update(routing.applyListing(routing.emptyDirectory, upstreams, TIMING, 0, 0));
         chai.expect(pool.hasAcceptingUpstreams).to.equal(false);
-        show(makeUpstream("one", Draining), makeUpstream("other", Draining));
+        show(fixtures.makeUpstream("one", { state: Draining }), fixtures.makeUpstream("other", { state: Draining }));
         chai.expect(pool.hasAcceptingUpstreams).to.equal(false);
-        show(makeUpstream("one", Draining), makeUpstream("other", Ready));
+        show(fixtures.makeUpstream("one", { state: Draining }), fixtures.makeUpstream("other", { state: Ready }));
         chai.expect(pool.hasAcceptingUpstreams).to.equal(true);
     });
 });
--- a/packages/gateway/test/stages.test.ts
+++ b/packages/gateway/test/stages.test.ts
@@ -4,16 +4,12 @@
 import * as chai from "chai";
 import type * as contexts from "../src/context.js";
 import * as stages from "../src/model/stages.js";
+import * as directories from "../src/store/directory.js";
 import * as agents from "../src/upstream/agent.js";
 import * as pools from "../src/upstream/pool.js";
 import * as fixtures from "./fixture.js";
 
-const TIMING: routing.DirectoryTiming = {
-    outageThresholdMs: 2_400,
-    recoveryMs: 2_500,
-    maxCopyAgeMs: 20_000,
-    lapseMs: 4_000,
-};
+const TIMING = directories.directoryTiming(1_000);
 
 describe("StageKeeper", () => {
     const fixture = new fixtures.Fixture(2_520);
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -126,17 +126,7 @@
         const before = follower.listings;
         follower.version = 2;
         follower.revision = 5;
-        follower.upstreams = [{
-            id: "u-1",
-            service: "counter",
-            address: "10.0.1.1:80",
-            availabilityZone: "a",
-            state: routing.UpstreamState.Ready,
-            slots: 6,
-            stage: undefined,
-            startedAt: 1,
-            warmUpLeftMs: 0,
-        }];
+        follower.upstreams = [fixtures.makeUpstream("u-1", { address: "10.0.1.1:80" })];
         follower.view.receiveUpdate(follower.makeUpdate());
         await lifecycle.pause(follower.scope, PERIOD_MS / 5);
         chai.expect(follower.listings).to.equal(before + 1);
