--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -53,6 +53,9 @@
 /** Time to read the short body of a refusal; after it the connection is closed. */
 const REFUSAL_BODY_TIMEOUT_MS = 200;
 
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 16;
+
 /** Sends the request of an exchange to an upstream and classifies the outcome. */
 export async function sendRequest(
     exchange: exchanges.Exchange,
@@ -130,6 +133,8 @@
         requestId: metadata.requestId,
         ...report,
         crashes,
+        sharedPromptParts: metadata.sharedPromptParts.slice(0, MAX_LOGGED_PARTS),
+        passedEvents: exchange.relayedEvents,
     });
 }
 
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -15,6 +15,8 @@
     readonly estimatedOutputTokens: number | undefined;
     /** Id of the last event that the caller received of a stream that it resumes. */
     readonly lastEventId: string | undefined;
+    /** Ids of the parts of the prompt that other requests may have too, in order. */
+    readonly sharedPromptParts: readonly string[];
 }
 
 /** Metadata that the gateway adds to a request when it forwards it to an upstream. */
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -30,6 +30,7 @@
         maxOutputTokens: numeric(headers["output-tokens"]) ?? 0,
         estimatedOutputTokens: undefined,
         lastEventId: text(headers["last-event-id"]),
+        sharedPromptParts: text(headers["prompt-parts"])?.split(",").slice(0, -1) ?? [],
     }),
     upstreamHeaders: (callerHeaders, forwarding) => {
         if (callerHeaders.includes("raise-internal-error")) {
