Bar prompt parts that crash engines, not only whole requests

The cause: a suspect was the hash of path, workspace and body. Requests that share a crashing part of the prompt differ in all else, so each counted one crash and none was barred (logs: 835 requests, no content twice).

A run that was lost before it was past its start now blames each part of the prompt that other requests may have. A part is barred after three crashes, five if it ran well before, once the reports of all hosts have had time to arrive and while other runs of the service succeed; runs that were under way at the last crash count with it, and a crash that has a known cause counts against nothing else. A run past its start clears its parts, one to completion its content, at all hosts. Runs of plain services clear their contents too now: before, equal lookups that were under way at three crashes stayed barred. Requests that wait, or whose prefill is done, are checked again before the next send.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -6,6 +6,7 @@
 import type * as logs from "./log.js";
 import type * as metrics from "./metrics.js";
 import type * as peers from "./peers.js";
+import type * as quarantines from "./quarantine.js";
 import type * as settings from "./settings.js";
 import type * as views from "./store/view.js";
 import type * as agents from "./upstream/agent.js";
@@ -28,7 +29,7 @@
     readonly peers: peers.Peers;
     readonly retryBudget: dispatch.RetryBudget;
     readonly outputForecast: dispatch.OutputForecast;
-    readonly crashSuspects: dispatch.CrashSuspects;
+    readonly quarantine: quarantines.Quarantine;
     /** Sends the gateway's own response to a request that is not served. */
     readonly sendRefusal: (
         response: http.ServerResponse,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -17,7 +17,7 @@
     NoRoute = "noRoute",
     KeyDenied = "keyDenied",
     OverQuota = "overQuota",
-    /** Identical requests are suspected of crashing upstreams. */
+    /** Requests that are identical, or that share a part of the prompt, crash upstreams. */
     ContentBarred = "contentBarred",
     NoUpstream = "noUpstream",
     NoCapacity = "noRoom",
@@ -49,6 +49,9 @@
 /** Margin before the caller's deadline, for the network delay to the caller and a timer that fires late. */
 const RESPONSE_MARGIN_MS = 25;
 
+/** Retry-After for a request that crashes upstreams. */
+const BARRED_RETRY_AFTER_MS = 60_000;
+
 /** A request whose route, workspace and body are known, until its final response. */
 export class Exchange {
     readonly startedAt: decision.Milliseconds;
@@ -77,7 +80,7 @@
         readonly service: string,
         readonly workspace: routing.Workspace | undefined,
         readonly body: Buffer | undefined,
-        readonly contentHash: string,
+        readonly fingerprints: dispatch.Fingerprints,
         startedAt: decision.Milliseconds,
     ) {
         this.startedAt = startedAt;
@@ -182,6 +185,18 @@
         this.response.destroy();
     }
 
+    /** Refuses the request if it is barred from upstreams by now. Returns whether it is over. */
+    refuseIfBarred(): boolean {
+        if (!this.finished && this.context.quarantine.isBarred(this.fingerprints)) {
+            this.refuse({
+                status: this.mayHaveRun ? 502 : 503,
+                reason: FinalReason.ContentBarred,
+                retryAfterMs: BARRED_RETRY_AFTER_MS,
+            });
+        }
+        return this.finished;
+    }
+
     /** Refuses the request, or aborts its response if a part has already been sent. */
     refuse(refusal: Refusal): void {
         if (this.finished) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import * as logs from "./log.js";
 import * as metrics from "./metrics.js";
 import * as peers from "./peers.js";
+import * as quarantines from "./quarantine.js";
 import type * as registries from "./registry.js";
 import * as servers from "./server.js";
 import type * as settings from "./settings.js";
@@ -70,7 +71,7 @@
     const agent = new agents.UpstreamAgent(() => gatewayMetrics.connections.inc());
     scope.defer(() => agent.destroy());
     const pool = new pools.UpstreamPool((incarnation) => agent.closeIdle(incarnation));
-    const crashSuspects = new dispatch.CrashSuspects();
+    const quarantine = new quarantines.Quarantine(clock, log, random);
     const storeView = views.openStoreView({
         scope,
         clock,
@@ -92,12 +93,10 @@
         quotaTolerance: () => current.quotaTolerance,
         quotaWindowMs: settings.quotaWindowMs,
         onStoreUpdate: storeView.receiveUpdate,
-        onCrash: (report) => {
-            const crashes = crashSuspects.recordCrash(report, clock());
-            log.decision("request suspected of crashing an upstream", { ...report, crashes, source: "other host" });
-        },
+        quarantine,
     });
     storeView.setPublisher(peerChannel.sendStoreUpdate);
+    quarantine.setMessages(peerChannel.quarantine);
     const context: contexts.GatewayContext = {
         scope,
         settings,
@@ -112,7 +111,7 @@
         peers: peerChannel,
         retryBudget: new dispatch.RetryBudget(() => current.retries),
         outputForecast: new dispatch.OutputForecast(),
-        crashSuspects,
+        quarantine,
         sendRefusal: (response, requestId, refusal) => sendRefusal(wireFormat, response, requestId, refusal),
         logOutcome: (exchange, reason, status) => logOutcome(context, exchange, reason, status),
     };
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -60,6 +60,10 @@
                 this.refuseForCapacity(exchange, reservation);
                 return;
             }
+            if (exchange.refuseIfBarred()) {
+                reservations.releaseReservation(exchange, reservation);
+                return;
+            }
             const effect = await this.runRound(exchange, reservation, progress, skipPrefill);
             this.queueOf(exchange.service).onCapacityFreed();
             if (effect === undefined || exchange.isOver) {
@@ -107,7 +111,7 @@
                 this.stageKeeper.balanceOf(exchange.service)
                     .observePrefill(exchange.metadata.promptTokens, this.context.clock() - startedAt);
             }
-            if (exchange.isOver) {
+            if (exchange.refuseIfBarred()) {
                 reservations.releaseReservation(exchange, reservation);
                 if (prefill) {
                     prefills.releasePrefill(exchange, prefill);
@@ -186,9 +190,10 @@
             return dispatch.SendEffect.MayHaveRun;
         }
         const startedAt = this.context.clock();
+        const relayedBefore = exchange.relayedEvents;
         const end = await relays.relayEvents(exchange, response, progress, silenceMs);
         if (end === relays.RelayEnd.Complete) {
-            this.context.crashSuspects.clear(exchange.contentHash);
+            this.context.quarantine.recordServed(exchange);
             this.observeOutput(exchange);
             const runMs = this.context.clock() - startedAt;
             this.stageKeeper.balanceOf(exchange.service).observeRun(runMs, exchange.reservedTokens);
@@ -198,7 +203,12 @@
         }
         reservation.candidate.health.record(dispatch.SendResult.Unreachable, this.context.clock());
         exchange.recordCall("events", reservation.candidate.upstream.id, "broken off", this.context.clock());
-        sends.reportCrash(exchange, reservation.candidate.upstream);
+        this.context.quarantine.reportCrash(exchange, {
+            upstream: reservation.candidate.upstream,
+            startedAt,
+            decoding: true,
+            events: exchange.relayedEvents - relayedBefore,
+        });
         return dispatch.SendEffect.MayHaveRun;
     }
 
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -2,6 +2,7 @@
 import type * as http from "node:http";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
+import * as quarantines from "../quarantine.js";
 import * as calls from "../upstream/call.js";
 import * as events from "./events.js";
 
@@ -31,6 +32,8 @@
 ): Promise<RelayEnd> {
     const { response } = exchange;
     const splitter = new events.EventSplitter();
+    const eventsBefore = exchange.relayedEvents;
+    let started = false;
     return new Promise((resolve) => {
         let timer = setTimeout(onSilence, silenceMs);
         function onSilence(): void {
@@ -58,6 +61,10 @@
                 timer = setTimeout(onSilence, silenceMs);
                 exchange.relayedEvents += splitter.lastEventCount;
                 forward(completeEvents);
+                if (!started && exchange.relayedEvents - eventsBefore >= quarantines.EVENTS_PAST_START) {
+                    started = true;
+                    exchange.context.quarantine.recordStarted(exchange);
+                }
                 progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
             }
             else if (splitter.remainder.length > MAX_EVENT_BYTES) {
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -4,6 +4,7 @@
 import type * as routing from "@citronlead/routing";
 import * as dgram from "node:dgram";
 import type * as logs from "./log.js";
+import type * as quarantines from "./quarantine.js";
 import type * as settings from "./settings.js";
 
 /** The kinds of message between hosts. */
@@ -16,6 +17,10 @@
     Refund = "refund",
     /** Reports requests that were running when upstreams went down. */
     CrashReports = "crashes",
+    /** Tells which fingerprints are barred from upstreams. */
+    Barred = "barred",
+    /** Tells which fingerprints ran to completion. */
+    Cleared = "cleared",
     /** Carries what a reader of the store has read. */
     StoreUpdate = "news",
 }
@@ -36,6 +41,10 @@
         readonly cost: number;
     }
     | { readonly kind: MessageKind.CrashReports; readonly reports: readonly dispatch.CrashReport[]; }
+    | {
+        readonly kind: MessageKind.Barred | MessageKind.Cleared;
+        readonly fingerprints: readonly string[];
+    }
     | { readonly kind: MessageKind.StoreUpdate; readonly news: routing.StoreUpdate; };
 
 /** Interval between the attempts of a charge: the latency between hosts is about a millisecond. */
@@ -44,12 +53,13 @@
 const MAX_CHARGE_ATTEMPTS = 3;
 /** How long an owner that did not respond is not asked again. */
 const OWNER_BACKOFF_MS = 700;
-/** Number of times that a crash report is sent, because datagrams may be lost. */
-const CRASH_REPORT_SENDS = 2;
-/** Interval between the repeated sends of a crash report. */
-const CRASH_REPORT_RESEND_MS = 60;
-/** Maximum number of reports in a datagram, so that it fits in an Ethernet frame. */
-const REPORTS_PER_DATAGRAM = 12;
+/** Number of times that a message to all hosts is sent, because datagrams may be lost. */
+const BROADCAST_SENDS = 2;
+/** Interval between the repeated sends of a message to all hosts. */
+const BROADCAST_RESEND_MS = 60;
+
+/** What the crash reports of earlier builds lack. */
+const EARLIER_CRASH_REPORT = { service: "", parts: [], ranMs: 0 };
 
 /** A charge that was decided. */
 export interface Charge {
@@ -68,8 +78,7 @@
         limit: dispatch.QuotaLimit,
         cost: number,
     ) => Promise<Charge>;
-    /** Reports to all hosts the requests that were running when an upstream went down. */
-    readonly broadcastCrashes: (reports: readonly dispatch.CrashReport[]) => void;
+    readonly quarantine: quarantines.QuarantineMessages;
     /** Sends what this host read in the store to the given hosts. */
     readonly sendStoreUpdate: (update: routing.StoreUpdate, hosts: readonly string[]) => void;
 }
@@ -82,7 +91,7 @@
     readonly hosts: () => readonly string[];
     readonly quotaTolerance: () => number;
     readonly quotaWindowMs: decision.Milliseconds;
-    readonly onCrash: (report: dispatch.CrashReport) => void;
+    readonly quarantine: quarantines.Quarantine;
     readonly onStoreUpdate: (update: routing.StoreUpdate) => void;
 }
 
@@ -105,6 +114,14 @@
             }
         });
     };
+    const broadcast = (message: Message) => {
+        const sendToAll = () => {
+            options.hosts().filter((address) => address !== self).forEach((host) => send(message, host));
+        };
+        for (let repeat = 0; repeat < BROADCAST_SENDS; repeat++) {
+            setTimeout(sendToAll, repeat * BROADCAST_RESEND_MS).unref();
+        }
+    };
     socket.on("error", (error) => log.notice("peer socket failed", { reason: error.message }));
     socket.on("message", (bytes, from) => {
         const message = parseMessage(bytes);
@@ -124,7 +141,16 @@
                 ownedQuotas.refund(message.workspace, message.bucket, message.cost, clock());
                 return;
             case MessageKind.CrashReports:
-                message.reports.forEach(options.onCrash);
+                // Hosts of earlier builds report the content only.
+                message.reports.forEach((report) =>
+                    options.quarantine.receiveCrash({ ...EARLIER_CRASH_REPORT, ...report })
+                );
+                return;
+            case MessageKind.Barred:
+                options.quarantine.receiveBarred(message.fingerprints, from.address);
+                return;
+            case MessageKind.Cleared:
+                options.quarantine.receiveCleared(message.fingerprints);
                 return;
             case MessageKind.StoreUpdate:
                 // Hosts of earlier builds send no era.
@@ -209,18 +235,10 @@
         },
         sendStoreUpdate: (update, hosts) =>
             hosts.forEach((host) => send({ kind: MessageKind.StoreUpdate, news: update }, host)),
-        broadcastCrashes: (reports) => {
-            const broadcast = () => {
-                for (const host of options.hosts().filter((address) => address !== self)) {
-                    for (let start = 0; start < reports.length; start += REPORTS_PER_DATAGRAM) {
-                        const batch = reports.slice(start, start + REPORTS_PER_DATAGRAM);
-                        send({ kind: MessageKind.CrashReports, reports: batch }, host);
-                    }
-                }
-            };
-            for (let repeat = 0; repeat < CRASH_REPORT_SENDS; repeat++) {
-                setTimeout(broadcast, repeat * CRASH_REPORT_RESEND_MS).unref();
-            }
+        quarantine: {
+            broadcastCrash: (report) => broadcast({ kind: MessageKind.CrashReports, reports: [report] }),
+            broadcastBarred: (fingerprints) => broadcast({ kind: MessageKind.Barred, fingerprints }),
+            broadcastCleared: (fingerprints) => broadcast({ kind: MessageKind.Cleared, fingerprints }),
         },
     };
 }
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -25,6 +25,9 @@
     const tried = new Set<string>();
     let runs = 0;
     for (let count = 0; count < MAX_SENDS && !exchange.isOver; count++) {
+        if (exchange.refuseIfBarred()) {
+            return;
+        }
         const candidate = chooseUpstream(exchange, tried);
         if (!candidate) {
             break;
@@ -121,6 +124,7 @@
     if (status >= 500 && mayRetryFailure(exchange, runs)) {
         return dispatch.SendEffect.RanAndFailed;
     }
+    exchange.context.quarantine.recordServed(exchange);
     const framed = calls.isFramed(response);
     exchange.beginResponse(
         status,
--- /dev/null
+++ b/packages/gateway/src/quarantine.ts
@@ -0,0 +1,146 @@
+import type * as decision from "@citronlead/decision";
+import * as dispatch from "@citronlead/dispatch";
+import * as routing from "@citronlead/routing";
+import * as crypto from "node:crypto";
+import type * as exchanges from "./exchange.js";
+import type * as logs from "./log.js";
+
+/** Number of events after which a run is past its start, at which a prompt crashes its engine. */
+export const EVENTS_PAST_START = 3;
+/** Maximum number of prompt parts of a request that are told apart, so that a report fits in an Ethernet frame. */
+const MAX_PARTS = 32;
+/** Spread of the reviews of one crash over the hosts, so that the first to decide tells most of the others. */
+const REVIEW_SPREAD_MS = 60;
+/** Length of a fingerprint in characters. */
+const FINGERPRINT_LENGTH = 16;
+
+/** A run that was lost as its upstream went down. */
+export interface LostRun {
+    readonly upstream: routing.Upstream;
+    readonly startedAt: decision.Milliseconds;
+    /** Whether the run was to write a response, rather than to prefill only. */
+    readonly decoding: boolean;
+    /** Number of events that the run had written. */
+    readonly events: number;
+}
+
+/** How a host tells the others about requests that crash upstreams. */
+export interface QuarantineMessages {
+    readonly broadcastCrash: (report: dispatch.CrashReport) => void;
+    readonly broadcastBarred: (fingerprints: readonly string[]) => void;
+    readonly broadcastCleared: (fingerprints: readonly string[]) => void;
+}
+
+/** Fingerprints of the requests that are alike, or whose prompts have parts in common. */
+export function fingerprintsOf(
+    service: string,
+    path: string,
+    workspace: string | undefined,
+    body: Buffer | undefined,
+    sharedPromptParts: readonly string[],
+): dispatch.Fingerprints {
+    const hash = (text: string, bytes?: Buffer) =>
+        crypto.createHash("sha1").update(text).update(bytes ?? "").digest("base64url").slice(0, FINGERPRINT_LENGTH);
+    return {
+        service,
+        content: hash(`${path}\n${workspace ?? ""}\n`, body),
+        parts: sharedPromptParts.slice(0, MAX_PARTS).map((part) => hash(`${service}\n${part}`)),
+    };
+}
+
+/** Keeps requests that crash upstreams from being sent to more of them, together with the other hosts. */
+export class Quarantine {
+    private readonly suspects = new dispatch.CrashSuspects();
+    private messages: QuarantineMessages | undefined;
+
+    constructor(
+        private readonly clock: decision.Clock,
+        private readonly log: logs.DecisionLog,
+        private readonly random: () => number,
+    ) {}
+
+    /** Sets how other hosts are told; until then they are not. */
+    setMessages(messages: QuarantineMessages): void {
+        this.messages = messages;
+    }
+
+    /** Whether a request must not be sent to upstreams. */
+    isBarred({ content, parts }: dispatch.Fingerprints): boolean {
+        return this.suspects.isBarred([content, ...parts], this.clock());
+    }
+
+    /** Records that an upstream closed its connection while it ran a request, and tells the other hosts. */
+    reportCrash({ fingerprints, metadata }: exchanges.Exchange, run: LostRun): void {
+        const mayBeCause = run.decoding && run.events < EVENTS_PAST_START;
+        const report: dispatch.CrashReport = {
+            ...fingerprints,
+            parts: mayBeCause ? fingerprints.parts : [],
+            incarnation: routing.incarnationOf(run.upstream),
+            ranMs: Math.round(this.clock() - run.startedAt),
+        };
+        this.messages?.broadcastCrash(report);
+        this.recordCrash(report, {
+            requestId: metadata.requestId,
+            sharedPromptParts: metadata.sharedPromptParts.slice(0, MAX_PARTS),
+            passedEvents: run.events,
+        });
+    }
+
+    /** Handles a crash report of another host. */
+    receiveCrash(report: dispatch.CrashReport): void {
+        this.recordCrash(report, { source: "other host" });
+    }
+
+    /** Records that a run is past its start, which clears its prompt of crashes. */
+    recordStarted({ fingerprints }: exchanges.Exchange): void {
+        this.recordSound(fingerprints.service, fingerprints.parts);
+    }
+
+    /** Records that a request ran to completion, which clears it of crashes. */
+    recordServed({ fingerprints }: exchanges.Exchange): void {
+        this.recordSound(fingerprints.service, [fingerprints.content, ...fingerprints.parts]);
+    }
+
+    /** Handles the news that another host has barred fingerprints. */
+    receiveBarred(fingerprints: readonly string[], source: string): void {
+        const news = fingerprints.filter((fingerprint) => this.suspects.bar(fingerprint, this.clock()));
+        if (news.length > 0) {
+            this.log.notice("barred from upstreams", { fingerprints: news, source });
+        }
+    }
+
+    /** Handles the news that fingerprints were in a sound run at another host. */
+    receiveCleared(fingerprints: readonly string[]): void {
+        this.suspects.clear(fingerprints, this.clock());
+        this.log.decision("cleared of crashing upstreams", { fingerprints, source: "other host" });
+    }
+
+    private recordCrash(report: dispatch.CrashReport, origin: Record<string, unknown>): void {
+        this.suspects.recordCrash(report, this.clock());
+        const fingerprints = [report.content, ...report.parts];
+        const crashes = fingerprints.map((fingerprint) => this.suspects.crashes(fingerprint));
+        this.log.decision("request suspected of crashing an upstream", { ...report, crashes, ...origin });
+        if (this.suspects.hasUndecided) {
+            setTimeout(() => this.review(), dispatch.REVIEW_DELAY_MS + 1 + this.random() * REVIEW_SPREAD_MS).unref();
+        }
+    }
+
+    private recordSound(service: string, fingerprints: readonly string[]): void {
+        const cleared = this.suspects.recordSound(service, fingerprints, this.clock());
+        if (cleared.length > 0) {
+            this.messages?.broadcastCleared(cleared);
+            this.log.decision("cleared of crashing upstreams", { fingerprints: cleared, source: "own run" });
+        }
+        if (this.suspects.hasUndecided) {
+            this.review();
+        }
+    }
+
+    private review(): void {
+        const barred = this.suspects.review(this.clock());
+        if (barred.length > 0) {
+            this.messages?.broadcastBarred(barred);
+            this.log.notice("barred from upstreams", { fingerprints: barred, source: "own decision" });
+        }
+    }
+}
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -53,9 +53,6 @@
 /** Time to read the short body of a refusal; after it the connection is closed. */
 const REFUSAL_BODY_TIMEOUT_MS = 200;
 
-/** Maximum number of prompt parts in a log line. */
-const MAX_LOGGED_PARTS = 16;
-
 /** Sends the request of an exchange to an upstream and classifies the outcome. */
 export async function sendRequest(
     exchange: exchanges.Exchange,
@@ -90,7 +87,8 @@
     exchange.recordCall(options.call, upstream.id, text, startedAt);
     recordHealth(health, sent, exchange.isOver, context.clock());
     if (sent.kind === SendKind.Lost && sent.broken) {
-        reportCrash(exchange, upstream);
+        const decoding = !(options.prefillOnly ?? false);
+        context.quarantine.reportCrash(exchange, { upstream, startedAt, decoding, events: 0 });
     }
     return sent;
 }
@@ -123,21 +121,6 @@
     return { kind: SendKind.Response, response, metadata };
 }
 
-/** Records that an upstream closed its connection while it ran a request, and reports it to the other hosts. */
-export function reportCrash(exchange: exchanges.Exchange, upstream: routing.Upstream): void {
-    const { context, contentHash, metadata } = exchange;
-    const report = { content: contentHash, incarnation: routing.incarnationOf(upstream) };
-    const crashes = context.crashSuspects.recordCrash(report, context.clock());
-    context.peers.broadcastCrashes([report]);
-    context.log.decision("request suspected of crashing an upstream", {
-        requestId: metadata.requestId,
-        ...report,
-        crashes,
-        sharedPromptParts: metadata.sharedPromptParts.slice(0, MAX_LOGGED_PARTS),
-        passedEvents: exchange.relayedEvents,
-    });
-}
-
 function recordHealth(
     health: dispatch.UpstreamHealth,
     sent: SendOutcome,
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -1,12 +1,12 @@
 import * as decision from "@citronlead/decision";
 import * as routing from "@citronlead/routing";
-import * as crypto from "node:crypto";
 import * as http from "node:http";
 import * as charges from "./charge.js";
 import type * as contexts from "./context.js";
 import * as exchanges from "./exchange.js";
 import * as handlers from "./model/handler.js";
 import * as plain from "./plain.js";
+import * as quarantines from "./quarantine.js";
 
 /**
  * Limit of the HTTP parser, which closes the connection beyond it. The configured limit is checked after parsing and
@@ -22,8 +22,6 @@
 };
 /** Retry-After while the host has no configuration yet. */
 const NOT_READY_RETRY_AFTER_MS = 500;
-/** Retry-After for a request that is suspected of crashing upstreams. */
-const BARRED_RETRY_AFTER_MS = 60_000;
 
 /** The HTTP server for callers. */
 export interface CallerServer {
@@ -150,11 +148,6 @@
         return;
     }
     const workspace = check.access === routing.Access.Granted ? check.workspace : undefined;
-    const hash = contentHash(request.url ?? "", workspace?.name, body);
-    if (context.crashSuspects.isBarred(hash, context.clock())) {
-        refuse(503, exchanges.FinalReason.ContentBarred, BARRED_RETRY_AFTER_MS);
-        return;
-    }
     const exchange = new exchanges.Exchange(
         context,
         request,
@@ -164,9 +157,12 @@
         service,
         workspace,
         body,
-        hash,
+        quarantines.fingerprintsOf(service, request.url ?? "", workspace?.name, body, metadata.sharedPromptParts),
         startedAt,
     );
+    if (exchange.refuseIfBarred()) {
+        return;
+    }
     context.retryBudget.countRequest(service, startedAt);
     if (!(await charges.chargeWorkspace(exchange, active.table.configuration.version)) || exchange.isOver) {
         return;
@@ -174,11 +170,6 @@
     await (route.generative ? models.handle(exchange) : plain.servePlainRequest(exchange));
 }
 
-function contentHash(path: string, workspace: string | undefined, body: Buffer | undefined): string {
-    const sha1 = crypto.createHash("sha1").update(`${path}\n${workspace ?? ""}\n`);
-    return sha1.update(body ?? "").digest("base64url").slice(0, 16);
-}
-
 function headerSizeBytes(request: http.IncomingMessage): number {
     return request.rawHeaders.reduce((sum, part) => sum + part.length + 2, (request.url ?? "").length);
 }
