Serve model engines that grant no reservations

A service whose configuration has no lifetime of reservations got one of 0 ms: each engine refused each reservation, and every request ended as noRoom after two latency targets.

--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -50,8 +50,8 @@
     readonly slots: number;
     /** Capacity of the KV cache, in tokens. */
     readonly kvCacheTokens: number;
-    /** Longest time for which a reservation of memory is granted. */
-    readonly maxReservationMs: decision.Milliseconds;
+    /** Longest time for which a reservation of memory is granted; undefined if engines grant none. */
+    readonly maxReservationMs: decision.Milliseconds | undefined;
     /** Output tokens in one event of a stream. */
     readonly tokensPerEvent: number;
     /** How long an engine keeps the result of a prefill. */
