Add the delay of a repeated crash report to the time of its run

Crash reports are sent twice. A run that began before the previous crash counts with it; the repeat, 60 ms later with the same duration, made such a run look as if it had begun afterwards, and concurrent crashes counted one by one (seen in host logs of the process test: crashes 1, then 2 at the repeat). Test: gateway/test/peers, failed before.

--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -114,8 +114,11 @@
             }
         });
     };
-    const broadcast = (message: Message) => {
+    /** Sends the message that is right after the given delay to all other hosts, several times. */
+    const broadcast = (makeMessage: (delayMs: decision.Milliseconds) => Message) => {
+        const startedAt = clock();
         const sendToAll = () => {
+            const message = makeMessage(clock() - startedAt);
             options.hosts().filter((address) => address !== self).forEach((host) => send(message, host));
         };
         for (let repeat = 0; repeat < BROADCAST_SENDS; repeat++) {
@@ -236,9 +239,13 @@
         sendStoreUpdate: (update, hosts) =>
             hosts.forEach((host) => send({ kind: MessageKind.StoreUpdate, news: update }, host)),
         quarantine: {
-            broadcastCrash: (report) => broadcast({ kind: MessageKind.CrashReports, reports: [report] }),
-            broadcastBarred: (fingerprints) => broadcast({ kind: MessageKind.Barred, fingerprints }),
-            broadcastCleared: (fingerprints) => broadcast({ kind: MessageKind.Cleared, fingerprints }),
+            broadcastCrash: (report) =>
+                broadcast((delayMs) => ({
+                    kind: MessageKind.CrashReports,
+                    reports: [{ ...report, ranMs: Math.round(report.ranMs + delayMs) }],
+                })),
+            broadcastBarred: (fingerprints) => broadcast(() => ({ kind: MessageKind.Barred, fingerprints })),
+            broadcastCleared: (fingerprints) => broadcast(() => ({ kind: MessageKind.Cleared, fingerprints })),
         },
     };
 }
