--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -79,6 +79,7 @@
         metrics: gatewayMetrics,
         registry: makeRegistry((key, problem) => log.decision("invalid registration in the store", { key, problem })),
         pool,
+        quarantine,
         host: settings.host,
         address: `${settings.peers.address}:${settings.peers.port}`,
         freshness: () => current.freshness,
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -1,9 +1,10 @@
-import type * as decision from "@citronlead/decision";
+import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
 import * as crypto from "node:crypto";
 import type * as exchanges from "./exchange.js";
 import type * as logs from "./log.js";
+import type * as registries from "./registry.js";
 
 /** Number of events after which a run is past its start, at which a prompt crashes its engine. */
 export const EVENTS_PAST_START = 3;
@@ -31,6 +32,9 @@
     readonly broadcastCleared: (fingerprints: readonly string[]) => void;
 }
 
+/** Where barred fingerprints are kept. */
+export type BarredStore = Pick<registries.Registry, "saveBarred" | "removeBarred">;
+
 /** Fingerprints of the requests that are alike, or whose prompts have parts in common. */
 export function fingerprintsOf(
     service: string,
@@ -51,6 +55,11 @@
 /** Keeps requests that crash upstreams from being sent to more of them, together with the other hosts. */
 export class Quarantine {
     private readonly suspects = new dispatch.CrashSuspects();
+    /** Fingerprints that this host has barred. The store keeps them for hosts that start later. */
+    private readonly ownDecisions = new Set<string>();
+    /** Fingerprints that turned out to be sound and are to be removed from the store. */
+    private readonly withdrawn = new Set<string>();
+    private reconciling = false;
     private messages: QuarantineMessages | undefined;
 
     constructor(
@@ -112,9 +121,32 @@
     /** Handles the news that fingerprints were in a sound run at another host. */
     receiveCleared(fingerprints: readonly string[]): void {
         this.suspects.clear(fingerprints, this.clock());
+        this.forgetDecisions(fingerprints);
         this.log.decision("cleared of crashing upstreams", { fingerprints, source: "other host" });
     }
 
+    /** Takes in the barred fingerprints that the store keeps, and brings it up to date on this host's decisions. */
+    async reconcile(stored: readonly string[], store: BarredStore): Promise<void> {
+        this.receiveBarred(stored, "store");
+        if (this.reconciling) {
+            return;
+        }
+        this.reconciling = true;
+        const missing = [...this.ownDecisions].filter((fingerprint) => !stored.includes(fingerprint));
+        for (const fingerprint of missing) {
+            const saved = await store.saveBarred(fingerprint);
+            this.log.notice("barred fingerprint saved", { fingerprint, ...describeOutcome(saved) });
+        }
+        for (const fingerprint of [...this.withdrawn]) {
+            const removed = await store.removeBarred(fingerprint);
+            this.log.notice("barred fingerprint removed", { fingerprint, ...describeOutcome(removed) });
+            if (removed.effect === decision.Effect.Known) {
+                this.withdrawn.delete(fingerprint);
+            }
+        }
+        this.reconciling = false;
+    }
+
     private recordCrash(report: dispatch.CrashReport, origin: Record<string, unknown>): void {
         this.suspects.recordCrash(report, this.clock());
         const fingerprints = [report.content, ...report.parts];
@@ -126,8 +158,12 @@
     }
 
     private recordSound(service: string, fingerprints: readonly string[]): void {
-        const cleared = this.suspects.recordSound(service, fingerprints, this.clock());
+        const now = this.clock();
+        const wereBarred = fingerprints.filter((fingerprint) => this.suspects.isBarred([fingerprint], now));
+        const cleared = this.suspects.recordSound(service, fingerprints, now);
         if (cleared.length > 0) {
+            wereBarred.forEach((fingerprint) => this.withdrawn.add(fingerprint));
+            this.forgetDecisions(cleared);
             this.messages?.broadcastCleared(cleared);
             this.log.decision("cleared of crashing upstreams", { fingerprints: cleared, source: "own run" });
         }
@@ -139,8 +175,18 @@
     private review(): void {
         const barred = this.suspects.review(this.clock());
         if (barred.length > 0) {
+            barred.forEach((fingerprint) => this.ownDecisions.add(fingerprint));
             this.messages?.broadcastBarred(barred);
             this.log.notice("barred from upstreams", { fingerprints: barred, source: "own decision" });
         }
     }
+
+    private forgetDecisions(fingerprints: readonly string[]): void {
+        fingerprints.forEach((fingerprint) => this.ownDecisions.delete(fingerprint));
+    }
+}
+
+function describeOutcome(outcome: decision.Outcome<unknown>): { effect: string; reason?: string; } {
+    const { effect } = outcome;
+    return outcome.effect === decision.Effect.Known ? { effect } : { effect, reason: outcome.reason };
 }
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -9,6 +9,14 @@
     readonly revision: number;
 }
 
+/** What the hosts of the fleet have written to the store. It may be some seconds old. */
+export interface FleetListing {
+    /** Addresses of the registered hosts. */
+    readonly hosts: readonly string[];
+    /** Fingerprints of requests that crash upstreams. */
+    readonly barred: readonly string[];
+}
+
 /** Access to the platform's store of configuration, upstreams and hosts. Failures are returned as outcomes. */
 export interface Registry {
     /** The latest era of the store that a response has shown. Responses of earlier eras are failures. */
@@ -28,6 +36,10 @@
      * value is the fencing token, which rises with each holder; undefined if another host has the duty.
      */
     readonly holdDuty: (host: string) => Promise<decision.Outcome<number | undefined>>;
-    /** Lists the addresses of the registered hosts. */
-    readonly listHosts: () => Promise<decision.Outcome<readonly string[]>>;
+    /** Lists what hosts have written, in one call. */
+    readonly listFleet: () => Promise<decision.Outcome<FleetListing>>;
+    /** Keeps a barred fingerprint for as long as hosts remember it. */
+    readonly saveBarred: (fingerprint: string) => Promise<decision.Outcome<undefined>>;
+    /** Removes a fingerprint that turned out to be sound. */
+    readonly removeBarred: (fingerprint: string) => Promise<decision.Outcome<undefined>>;
 }
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -3,6 +3,7 @@
 import * as routing from "@citronlead/routing";
 import type * as logs from "../log.js";
 import type * as metrics from "../metrics.js";
+import type * as quarantines from "../quarantine.js";
 import type * as registries from "../registry.js";
 import type * as settings from "../settings.js";
 import type * as pools from "../upstream/pool.js";
@@ -53,6 +54,7 @@
     readonly metrics: metrics.GatewayMetrics;
     readonly registry: registries.Registry;
     readonly pool: pools.UpstreamPool;
+    readonly quarantine: quarantines.Quarantine;
     readonly host: string;
     /** Address at which other hosts reach this one. */
     readonly address: string;
@@ -130,11 +132,13 @@
         era = Math.max(era, latest);
     };
     const refreshHosts = async () => {
+        // A host that starts has to know what is barred before it knows that it is registered.
+        const listed = await registry.listFleet();
         const registered = await registry.registerHost(options.host, options.address);
-        const listed = await registry.listHosts();
         if (listed.effect === decision.Effect.Known) {
+            void options.quarantine.reconcile(listed.value.barred, registry);
             const kept = clock() < hostGraceUntil ? hosts : [];
-            const next = [...new Set([...listed.value, ...kept, options.address])].sort();
+            const next = [...new Set([...listed.value.hosts, ...kept, options.address])].sort();
             if (next.join() !== hosts.join()) {
                 group = routing.readerGroupOf(next, options.address, READER_GROUP_OPTIONS);
                 log.notice("hosts changed", { hosts: next.length, former: hosts.length, reader: group.isReader });
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -164,7 +164,9 @@
             holdDuty: async () => decision.knownEffect(undefined),
             registerHost: async () => decision.knownEffect(undefined),
             unregisterHost: async () => decision.knownEffect(undefined),
-            listHosts: async () => decision.knownEffect([]),
+            listFleet: async () => decision.knownEffect({ hosts: [], barred: [] }),
+            saveBarred: async () => decision.knownEffect(undefined),
+            removeBarred: async () => decision.knownEffect(undefined),
         };
         this.started = await gateway.startGateway({
             settings: this.settings,
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -4,6 +4,7 @@
 import * as chai from "chai";
 import * as logs from "../src/log.js";
 import * as metrics from "../src/metrics.js";
+import * as quarantines from "../src/quarantine.js";
 import * as views from "../src/store/view.js";
 import * as pools from "../src/upstream/pool.js";
 import * as fixtures from "./fixture.js";
@@ -38,12 +39,15 @@
             this.configurationReads++;
             return decision.knownEffect(fixtures.makeConfiguration({ version: this.version }));
         };
+        const clock = lifecycle.monotonicClock;
+        const log = logs.makeDecisionLog({}, clock, () => undefined);
         this.view = views.openStoreView({
             scope: this.scope,
-            clock: lifecycle.monotonicClock,
-            log: logs.makeDecisionLog({}, lifecycle.monotonicClock, () => undefined),
+            clock,
+            log,
             metrics: metrics.makeGatewayMetrics(),
             pool: new pools.UpstreamPool(() => undefined),
+            quarantine: new quarantines.Quarantine(clock, log, () => 0.5),
             host: "host",
             address,
             freshness: () => ({ listingPeriodMs: periodMs, configurationWatchMs: periodMs }),
@@ -72,7 +76,9 @@
                     return decision.knownEffect(undefined);
                 },
                 unregisterHost: async () => decision.knownEffect(undefined),
-                listHosts: async () => decision.knownEffect(this.listedHosts),
+                listFleet: async () => decision.knownEffect({ hosts: this.listedHosts, barred: [] }),
+                saveBarred: async () => decision.knownEffect(undefined),
+                removeBarred: async () => decision.knownEffect(undefined),
             },
         });
         this.view.setPublisher((update) => this.published.push(update));
