Take a stream without framing that ends inside an event for broken off

An engine's stream may have neither a length nor chunks and end with its connection. One that ended inside an event, or before its first, was relayed as complete, and one that was reset was cut after its last whole event and closed, which looked complete to the caller: its answer had no framing either. Such a stream is broken off now unless it ends between events, and callers get every stream in chunks, so that an aborted one is known. To callers without chunks an aborted response is reset.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -152,8 +152,8 @@
     }
 
     /**
-     * Sends the status and headers of an upstream's response to the caller. A response without framing ends with its
-     * connection here too; with a Content-Length, one that the upstream broke off would look complete.
+     * Sends the status and headers of an upstream's response to the caller. One without framing ends with its connection
+     * here too; with a Content-Length, one that the upstream broke off would look complete.
      */
     beginResponse(status: number, headers: readonly string[], framed: boolean): void {
         this.context.metrics.firstByte.observe(
@@ -182,7 +182,13 @@
             return;
         }
         this.finish(reason, this.response.statusCode);
-        this.response.destroy();
+        if (this.response.chunkedEncoding) {
+            this.response.destroy();
+        }
+        else {
+            // To callers without chunks, such as those of HTTP/1.0, a closed connection would end the response.
+            this.response.socket?.resetAndDestroy();
+        }
     }
 
     /** Refuses the request if it is barred from upstreams by now. Returns whether it is over. */
--- a/packages/gateway/src/model/events.ts
+++ b/packages/gateway/src/model/events.ts
@@ -17,6 +17,11 @@
         return this.lastCompleteId;
     }
 
+    /** Whether no event is incomplete. */
+    get isBetweenEvents(): boolean {
+        return this.incomplete.toString("latin1").trim() === "";
+    }
+
     /** Adds bytes. Returns the bytes of the events that are now complete, or undefined if there are none. */
     push(bytes: Buffer): Buffer | undefined {
         const all = this.incomplete.length === 0 ? bytes : Buffer.concat([this.incomplete, bytes]);
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -42,7 +42,8 @@
         const forward = (bytes: Buffer) => {
             if (!response.headersSent) {
                 const relayedHeaders = headers.responseHeaders(source.rawHeaders, undefined);
-                exchange.beginResponse(source.statusCode ?? 200, relayedHeaders, calls.isFramed(source));
+                // In chunks, whatever the upstream does: a stream that is aborted must not look complete.
+                exchange.beginResponse(source.statusCode ?? 200, relayedHeaders, true);
             }
             if (!response.write(bytes)) {
                 source.pause();
@@ -78,7 +79,8 @@
                 resolve(RelayEnd.Over);
                 return;
             }
-            if (!calls.isComplete(source)) {
+            const wroteEvents = exchange.relayedEvents > eventsBefore;
+            if (!calls.isComplete(source) || (!calls.isFramed(source) && !(wroteEvents && splitter.isBetweenEvents))) {
                 resolve(RelayEnd.Broken);
                 return;
             }
