--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -82,7 +82,7 @@
         headersTimeoutMs: Math.min(options.headersTimeoutMs, exchange.remainingMs),
         signal: exchange.signal,
     });
-    const sent = await classifyOutcome(exchange, outcome, metadata.requestId);
+    const sent = await classifyOutcome(exchange, upstream, outcome, metadata.requestId);
     const text = sent.kind === SendKind.Response ? String(sent.response.statusCode) : `${sent.kind}: ${sent.reason}`;
     exchange.recordCall(options.call, upstream.id, text, startedAt);
     recordHealth(health, sent, exchange.isOver, context.clock());
@@ -95,6 +95,7 @@
 
 async function classifyOutcome(
     exchange: exchanges.Exchange,
+    upstream: routing.Upstream,
     outcome: calls.CallOutcome,
     requestId: string | undefined,
 ): Promise<SendOutcome> {
@@ -105,6 +106,13 @@
     }
     const { response } = outcome;
     const metadata = exchange.context.wireFormat.parseResponse(response.headers);
+    if (metadata.limitPerSecond !== undefined) {
+        exchange.context.log.decision("upstream names a limit", {
+            requestId,
+            upstream: upstream.id,
+            limitPerSecond: metadata.limitPerSecond,
+        });
+    }
     if (metadata.requestId !== undefined && requestId !== undefined && metadata.requestId !== requestId) {
         response.destroy();
         return { kind: SendKind.Lost, reason: "answer to another request", broken: false };
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -41,6 +41,8 @@
     readonly signed: boolean;
     /** Whether the upstream states that it did not run the request and will not run it. */
     readonly notRun: boolean;
+    /** Requests per second that the upstream takes from all hosts together while it says so. */
+    readonly limitPerSecond: number | undefined;
 }
 
 /** A control call to an engine, such as a reservation. The body is sent as JSON. */
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -53,6 +53,7 @@
         requestId: text(headers["request-id"]),
         signed: headers["signature"] !== undefined,
         notRun: headers["not-run"] !== undefined,
+        limitPerSecond: numeric(headers["limit"]),
     }),
     refusalHeaders: (requestId, retryAfterMs) => [
         ...(requestId === undefined ? [] : ["request-id", requestId]),
