Keep the limits that upstreams name in their answers, over all hosts

The cause: no host read the header. A limit that each host kept for itself would be exceeded by the sum.

The first host to read a limit, a notable change of it or its end tells all. Each request to such an upstream, prefills, decodes and repeats included, asks the owner of its limit, which rendezvous hashing chooses as for quotas; while that does not respond, the hosts use 0.4 of the limit together, evenly spaced. A request goes to the next upstream if one is spent, and is refused at once with the time until a place if all are. An answer to a request from before the limit was named does not end it. Windows of quotas and limits are bounded in number now.

--- a/packages/dispatch/src/crashes.ts
+++ b/packages/dispatch/src/crashes.ts
@@ -1,4 +1,5 @@
 import type * as decision from "@citronlead/decision";
+import * as newest from "./newest.js";
 
 /** Number of crashes after which a request content or prompt part is no longer sent to any upstream. */
 export const CRASH_LIMIT = 3;
@@ -122,7 +123,7 @@
         const cleared = fingerprints.filter((fingerprint) => this.suspects.has(fingerprint));
         this.clear(cleared, now);
         for (const fingerprint of fingerprints) {
-            setNewest(this.soundAt, fingerprint, now, MAX_SOUND_PARTS);
+            newest.setNewest(this.soundAt, fingerprint, now, MAX_SOUND_PARTS);
         }
         this.soundRuns.set(service, this.soundRunsOf(service) + 1);
         return cleared;
@@ -132,7 +133,7 @@
     clear(fingerprints: readonly string[], now: decision.Milliseconds): void {
         for (const fingerprint of fingerprints) {
             this.suspects.delete(fingerprint);
-            setNewest(this.clearedAt, fingerprint, now, MAX_SUSPECTS);
+            newest.setNewest(this.clearedAt, fingerprint, now, MAX_SUSPECTS);
         }
     }
 
@@ -146,7 +147,7 @@
         suspect.lastCrashAt = now;
         suspect.barred = true;
         this.explain([...suspect.incarnations], now);
-        setNewest(this.suspects, fingerprint, suspect, MAX_SUSPECTS);
+        newest.setNewest(this.suspects, fingerprint, suspect, MAX_SUSPECTS);
         return true;
     }
 
@@ -174,7 +175,7 @@
         }
         suspect.incarnations.add(incarnation);
         suspect.lastCrashAt = now;
-        setNewest(this.suspects, fingerprint, suspect, MAX_SUSPECTS);
+        newest.setNewest(this.suspects, fingerprint, suspect, MAX_SUSPECTS);
         if (this.isAtLimit(fingerprint) && !this.undecided.has(fingerprint)) {
             this.undecided.set(fingerprint, now + REVIEW_DELAY_MS);
         }
@@ -202,7 +203,7 @@
     /** Records that the crashes of incarnations have a known cause, and takes them off the suspects that are not barred. */
     private explain(incarnations: readonly string[], now: decision.Milliseconds): void {
         for (const incarnation of incarnations) {
-            setNewest(this.explainedAt, incarnation, now, MAX_EXPLAINED_CRASHES);
+            newest.setNewest(this.explainedAt, incarnation, now, MAX_EXPLAINED_CRASHES);
             for (const suspect of this.suspects.values()) {
                 if (!suspect.barred) {
                     suspect.incarnations.delete(incarnation);
@@ -226,12 +227,3 @@
         return this.soundRuns.get(service) ?? 0;
     }
 }
-
-/** Sets an entry of a map in order of time, and evicts the oldest one beyond the maximum size. */
-function setNewest<Value>(map: Map<string, Value>, key: string, value: Value, maxSize: number): void {
-    map.delete(key);
-    map.set(key, value);
-    if (map.size > maxSize) {
-        map.delete(map.keys().next().value as string);
-    }
-}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./forecast.js";
 export * from "./headroom.js";
 export * from "./health.js";
+export * from "./limits.js";
 export * from "./placement.js";
 export * from "./queue.js";
 export * from "./quota.js";
--- a/packages/dispatch/src/quota.ts
+++ b/packages/dispatch/src/quota.ts
@@ -1,4 +1,5 @@
 import type * as decision from "@citronlead/decision";
+import * as newest from "./newest.js";
 
 /** A workspace's limit across all hosts, in the workspace's rate unit. */
 export interface QuotaLimit {
@@ -23,6 +24,8 @@
 
 const GRANTED: QuotaDecision = { granted: true };
 
+/** Maximum number of windows; the one charged longest ago is evicted first, and starts anew if it is charged again. */
+const MAX_WINDOWS = 5_000;
 /** Number of buckets that a window is divided into; charges expire one bucket at a time. */
 const BUCKETS_PER_WINDOW = 40;
 
@@ -117,7 +120,7 @@
 }
 
 /**
- * Sliding-window quota of each workspace. A workspace's owner applies the limit of the whole fleet; another host
+ * Sliding-window quota of each workspace, or of each upstream that names a limit. A workspace's owner applies the limit of the whole fleet; another host
  * applies its share of the limit while the owner does not respond.
  */
 export class QuotaLimiter {
@@ -134,7 +137,7 @@
             return GRANTED;
         }
         const window = this.windows.get(workspace) ?? new SlidingWindow(limit, this.windowMs, now);
-        this.windows.set(workspace, window);
+        newest.setNewest(this.windows, workspace, window, MAX_WINDOWS);
         return window.charge(limit, cost, now);
     }
 
--- a/packages/gateway/src/charge.ts
+++ b/packages/gateway/src/charge.ts
@@ -1,5 +1,6 @@
 import * as routing from "@citronlead/routing";
 import * as exchanges from "./exchange.js";
+import * as peers from "./peers.js";
 
 /**
  * Charges a request to its workspace under the limit of the given configuration version. Refuses the request and
@@ -13,7 +14,12 @@
     const tokens = metadata.promptTokens + metadata.maxOutputTokens;
     const cost = workspace.unit === routing.RateUnit.Requests ? 1 : tokens > 0 ? tokens : workspace.defaultCostTokens;
     const limit = { ratePerSecond: workspace.ratePerSecond, burst: workspace.burst, version };
-    const { quotaDecision, decidedBy, refund } = await context.peers.charge(workspace.name, limit, cost);
+    const { quotaDecision, decidedBy, refund } = await context.peers.charge(
+        peers.Ledger.Workspaces,
+        workspace.name,
+        limit,
+        cost,
+    );
     if (quotaDecision.granted) {
         exchange.onEndedUnsent(refund);
         return true;
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -3,6 +3,7 @@
 import type * as lifecycle from "@citronlead/lifecycle";
 import type * as http from "node:http";
 import type * as exchanges from "./exchange.js";
+import type * as limits from "./limits.js";
 import type * as logs from "./log.js";
 import type * as metrics from "./metrics.js";
 import type * as peers from "./peers.js";
@@ -30,6 +31,7 @@
     readonly retryBudget: dispatch.RetryBudget;
     readonly outputForecast: dispatch.OutputForecast;
     readonly quarantine: quarantines.Quarantine;
+    readonly limits: limits.UpstreamLimits;
     /** Sends the gateway's own response to a request that is not served. */
     readonly sendRefusal: (
         response: http.ServerResponse,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import type * as contexts from "./context.js";
 import * as endpoints from "./endpoints.js";
 import type * as exchanges from "./exchange.js";
+import * as limits from "./limits.js";
 import * as logs from "./log.js";
 import * as metrics from "./metrics.js";
 import * as peers from "./peers.js";
@@ -70,7 +71,11 @@
     const log = logs.makeDecisionLog(identity, clock, () => gatewayMetrics.droppedLogLines.inc());
     const agent = new agents.UpstreamAgent(() => gatewayMetrics.connections.inc());
     scope.defer(() => agent.destroy());
-    const pool = new pools.UpstreamPool((incarnation) => agent.closeIdle(incarnation));
+    const upstreamLimits = new limits.UpstreamLimits(clock, log);
+    const pool = new pools.UpstreamPool((incarnation) => {
+        agent.closeIdle(incarnation);
+        upstreamLimits.forget(incarnation);
+    });
     const quarantine = new quarantines.Quarantine(clock, log, random);
     const storeView = views.openStoreView({
         scope,
@@ -95,9 +100,11 @@
         quotaWindowMs: settings.quotaWindowMs,
         onStoreUpdate: storeView.receiveUpdate,
         quarantine,
+        limits: upstreamLimits,
     });
     storeView.setPublisher(peerChannel.sendStoreUpdate);
     quarantine.setMessages(peerChannel.quarantine);
+    upstreamLimits.setMessages(peerChannel);
     const context: contexts.GatewayContext = {
         scope,
         settings,
@@ -113,6 +120,7 @@
         retryBudget: new dispatch.RetryBudget(() => current.retries),
         outputForecast: new dispatch.OutputForecast(),
         quarantine,
+        limits: upstreamLimits,
         sendRefusal: (response, requestId, refusal) => sendRefusal(wireFormat, response, requestId, refusal),
         logOutcome: (exchange, reason, status) => logOutcome(context, exchange, reason, status),
     };
--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -45,8 +45,13 @@
             crossZonePenalty: CROSS_ZONE_PENALTY,
             random: context.random,
         };
-        const ranked = dispatch.rankCandidates(engines, options, context.clock());
-        for (const [index, candidate] of ranked.slice(0, ENGINES_PER_PREFILL).entries()) {
+        const untried = dispatch.rankCandidates(engines, options, context.clock());
+        for (let index = 0; index < ENGINES_PER_PREFILL; index++) {
+            const { candidate } = await context.limits.firstPermitted(untried);
+            if (!candidate) {
+                return undefined;
+            }
+            untried.splice(untried.indexOf(candidate), 1);
             const hostCount = context.storeView.hosts().length;
             if (
                 exchange.isOver || (index > 0 && !context.retryBudget.tryAcquire(service, hostCount, context.clock()))
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -94,21 +94,31 @@
         return ReservationFailure.NoEngine;
     }
     if (maxReservationMs === undefined) {
-        return { candidate: engines[0] as dispatch.Candidate, id: undefined };
+        const { candidate } = await context.limits.firstPermitted(engines);
+        return candidate ? { candidate, id: undefined } : ReservationFailure.Full;
     }
     const timeToLiveMs = Math.min(maxReservationMs, RESERVATION_TTL_MS);
     const headroomTokens = dispatch.headroomTokens({
         onTime: queue.canMeetTarget(exchange),
         typicalTokens: queue.typicalReservation.tokens,
     });
-    for (const candidate of engines.slice(0, ENGINES_PER_ATTEMPT)) {
+    let asked = 0;
+    for (const candidate of engines) {
         if (exchange.isOver) {
             return ReservationFailure.GivenUp;
         }
+        const permit = await context.limits.acquire(candidate.upstream);
+        if (!permit.granted) {
+            continue;
+        }
         const reservation = await reserveBesides(exchange, candidate, headroomTokens, timeToLiveMs);
         if (reservation) {
             return reservation;
         }
+        permit.refund();
+        if (++asked === ENGINES_PER_ATTEMPT) {
+            break;
+        }
     }
     return ReservationFailure.Full;
 }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -3,6 +3,7 @@
 import type * as lifecycle from "@citronlead/lifecycle";
 import type * as routing from "@citronlead/routing";
 import * as dgram from "node:dgram";
+import type * as limits from "./limits.js";
 import type * as logs from "./log.js";
 import type * as quarantines from "./quarantine.js";
 import type * as settings from "./settings.js";
@@ -17,6 +18,8 @@
     Refund = "refund",
     /** Reports requests that were running when upstreams went down. */
     CrashReports = "crashes",
+    /** Tells which limit an upstream has named. */
+    Limit = "limit",
     /** Tells which fingerprints are barred from upstreams. */
     Barred = "barred",
     /** Tells which fingerprints ran to completion. */
@@ -25,10 +28,20 @@
     StoreUpdate = "news",
 }
 
+/** What a charge counts against. */
+export enum Ledger {
+    /** The quota of a workspace. */
+    Workspaces = "workspaces",
+    /** The limit that an upstream names. */
+    Upstreams = "upstreams",
+}
+
 type Message =
     | {
         readonly kind: MessageKind.Charge;
         readonly id: number;
+        /** Hosts of earlier builds send none. */
+        readonly ledger?: Ledger;
         readonly workspace: string;
         readonly limit: dispatch.QuotaLimit;
         readonly cost: number;
@@ -36,11 +49,13 @@
     | { readonly kind: MessageKind.ChargeReply; readonly id: number; readonly answer: dispatch.QuotaDecision; }
     | {
         readonly kind: MessageKind.Refund;
+        readonly ledger?: Ledger;
         readonly workspace: string;
         readonly bucket: number;
         readonly cost: number;
     }
     | { readonly kind: MessageKind.CrashReports; readonly reports: readonly dispatch.CrashReport[]; }
+    | { readonly kind: MessageKind.Limit; readonly incarnation: string; readonly perSecond?: number; }
     | {
         readonly kind: MessageKind.Barred | MessageKind.Cleared;
         readonly fingerprints: readonly string[];
@@ -72,13 +87,19 @@
 
 /** Messages between hosts, sent as UDP datagrams. */
 export interface Peers {
-    /** Charges a workspace at its owner, or against this host's share of the limit while the owner does not respond. */
+    /**
+     * Charges a workspace or upstream at its owner, or against this host's share of the limit while the owner does not
+     * respond.
+     */
     readonly charge: (
-        workspace: string,
+        ledger: Ledger,
+        name: string,
         limit: dispatch.QuotaLimit,
         cost: number,
     ) => Promise<Charge>;
     readonly quarantine: quarantines.QuarantineMessages;
+    /** Tells all hosts the limit that an upstream has named; undefined if it names none any more. */
+    readonly broadcastLimit: (incarnation: string, perSecond: number | undefined) => void;
     /** Sends what this host read in the store to the given hosts. */
     readonly sendStoreUpdate: (update: routing.StoreUpdate, hosts: readonly string[]) => void;
 }
@@ -92,6 +113,7 @@
     readonly quotaTolerance: () => number;
     readonly quotaWindowMs: decision.Milliseconds;
     readonly quarantine: quarantines.Quarantine;
+    readonly limits: limits.UpstreamLimits;
     readonly onStoreUpdate: (update: routing.StoreUpdate) => void;
 }
 
@@ -100,8 +122,12 @@
     const { clock, listen, log } = options;
     const self = `${listen.address}:${listen.port}`;
     const socket = dgram.createSocket("udp4");
-    const ownedQuotas = new dispatch.QuotaLimiter(options.quotaWindowMs);
+    const ownedQuotas: Record<Ledger, dispatch.QuotaLimiter> = {
+        [Ledger.Workspaces]: new dispatch.QuotaLimiter(options.quotaWindowMs),
+        [Ledger.Upstreams]: new dispatch.QuotaLimiter(dispatch.LIMIT_WINDOW_MS),
+    };
     const fallbackQuotas = new dispatch.QuotaLimiter(options.quotaWindowMs);
+    const limitShare = new dispatch.LimitShare();
     /** Callbacks of the charges in flight, by message id. */
     const pendingCharges = new Map<number, (quotaDecision: dispatch.QuotaDecision) => void>();
     const backoffUntilByOwner = new Map<string, decision.Milliseconds>();
@@ -130,7 +156,8 @@
         const message = parseMessage(bytes);
         switch (message?.kind) {
             case MessageKind.Charge: {
-                const quotaDecision = ownedQuotas.charge(message.workspace, message.limit, message.cost, clock());
+                const owned = ownedQuotas[message.ledger ?? Ledger.Workspaces];
+                const quotaDecision = owned.charge(message.workspace, message.limit, message.cost, clock());
                 send(
                     { kind: MessageKind.ChargeReply, id: message.id, answer: quotaDecision },
                     `${from.address}:${from.port}`,
@@ -141,7 +168,8 @@
                 pendingCharges.get(message.id)?.(message.answer);
                 return;
             case MessageKind.Refund:
-                ownedQuotas.refund(message.workspace, message.bucket, message.cost, clock());
+                ownedQuotas[message.ledger ?? Ledger.Workspaces]
+                    .refund(message.workspace, message.bucket, message.cost, clock());
                 return;
             case MessageKind.CrashReports:
                 // Hosts of earlier builds report the content only.
@@ -149,6 +177,9 @@
                     options.quarantine.receiveCrash({ ...EARLIER_CRASH_REPORT, ...report })
                 );
                 return;
+            case MessageKind.Limit:
+                options.limits.receive(message.incarnation, message.perSecond);
+                return;
             case MessageKind.Barred:
                 options.quarantine.receiveBarred(message.fingerprints, from.address);
                 return;
@@ -165,33 +196,39 @@
     });
     await new Promise<void>((resolve) => socket.bind(listen.port, listen.address, resolve));
     options.scope.defer(() => new Promise((resolve) => socket.close(resolve)));
-    const requestCharge = (owner: string, workspace: string, limit: dispatch.QuotaLimit, cost: number) =>
-        new Promise<dispatch.QuotaDecision | undefined>((resolve) => {
-            const id = ++lastId;
-            let attempts = 0;
-            const finish = (quotaDecision: dispatch.QuotaDecision | undefined) => {
-                clearInterval(timer);
-                pendingCharges.delete(id);
-                resolve(quotaDecision);
-            };
-            const sendCharge = () => {
-                if (attempts++ >= MAX_CHARGE_ATTEMPTS) {
-                    finish(undefined);
-                    return;
-                }
-                send({ kind: MessageKind.Charge, id, workspace, limit, cost }, owner);
-            };
-            const timer = setInterval(sendCharge, CHARGE_RETRY_MS);
-            pendingCharges.set(id, finish);
-            sendCharge();
-        });
-    const chargeLocally = (workspace: string, limit: dispatch.QuotaLimit, cost: number) =>
-        fallbackQuotas.charge(
-            workspace,
-            dispatch.fallbackLimit(limit, options.quotaTolerance(), options.hosts().length),
-            cost,
-            clock(),
-        );
+    const requestCharge = (
+        owner: string,
+        ledger: Ledger,
+        workspace: string,
+        limit: dispatch.QuotaLimit,
+        cost: number,
+    ) => new Promise<dispatch.QuotaDecision | undefined>((resolve) => {
+        const id = ++lastId;
+        let attempts = 0;
+        const finish = (quotaDecision: dispatch.QuotaDecision | undefined) => {
+            clearInterval(timer);
+            pendingCharges.delete(id);
+            resolve(quotaDecision);
+        };
+        const sendCharge = () => {
+            if (attempts++ >= MAX_CHARGE_ATTEMPTS) {
+                finish(undefined);
+                return;
+            }
+            send({ kind: MessageKind.Charge, id, ledger, workspace, limit, cost }, owner);
+        };
+        const timer = setInterval(sendCharge, CHARGE_RETRY_MS);
+        pendingCharges.set(id, finish);
+        sendCharge();
+    });
+    const chargeLocally = (ledger: Ledger, name: string, limit: dispatch.QuotaLimit, cost: number) => {
+        const hostCount = options.hosts().length;
+        if (ledger === Ledger.Upstreams) {
+            return limitShare.charge(name, limit.ratePerSecond, hostCount, clock());
+        }
+        const ownLimit = dispatch.fallbackLimit(limit, options.quotaTolerance(), hostCount);
+        return fallbackQuotas.charge(name, ownLimit, cost, clock());
+    };
     const makeCharge = (
         quotaDecision: dispatch.QuotaDecision,
         decidedBy: string,
@@ -206,22 +243,23 @@
         },
     });
     return {
-        charge: async (workspace, limit, cost) => {
-            const owner = dispatch.ownerOf(options.hosts(), workspace) ?? self;
+        charge: async (ledger, name, limit, cost) => {
+            const owner = dispatch.ownerOf(options.hosts(), name) ?? self;
             if (owner === self) {
+                const owned = ownedQuotas[ledger];
                 return makeCharge(
-                    ownedQuotas.charge(workspace, limit, cost, clock()),
+                    owned.charge(name, limit, cost, clock()),
                     "owner",
-                    (bucket) => ownedQuotas.refund(workspace, bucket, cost, clock()),
+                    (bucket) => owned.refund(name, bucket, cost, clock()),
                 );
             }
             if (clock() >= (backoffUntilByOwner.get(owner) ?? 0)) {
-                const quotaDecision = await requestCharge(owner, workspace, limit, cost);
+                const quotaDecision = await requestCharge(owner, ledger, name, limit, cost);
                 if (quotaDecision) {
                     return makeCharge(
                         quotaDecision,
                         owner,
-                        (bucket) => send({ kind: MessageKind.Refund, workspace, bucket, cost }, owner),
+                        (bucket) => send({ kind: MessageKind.Refund, ledger, workspace: name, bucket, cost }, owner),
                     );
                 }
                 backoffUntilByOwner.set(owner, clock() + OWNER_BACKOFF_MS);
@@ -231,11 +269,17 @@
                 });
             }
             return makeCharge(
-                chargeLocally(workspace, limit, cost),
+                chargeLocally(ledger, name, limit, cost),
                 "local share",
-                (bucket) => fallbackQuotas.refund(workspace, bucket, cost, clock()),
+                (bucket) => fallbackQuotas.refund(name, bucket, cost, clock()),
             );
         },
+        broadcastLimit: (incarnation, perSecond) =>
+            broadcast(() => ({
+                kind: MessageKind.Limit,
+                incarnation,
+                ...(perSecond === undefined ? {} : { perSecond }),
+            })),
         sendStoreUpdate: (update, hosts) =>
             hosts.forEach((host) => send({ kind: MessageKind.StoreUpdate, news: update }, host)),
         quarantine: {
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -24,14 +24,20 @@
     const { context, route, service } = exchange;
     const tried = new Set<string>();
     let runs = 0;
+    let limitedForMs: decision.Milliseconds | undefined;
     for (let count = 0; count < MAX_SENDS && !exchange.isOver; count++) {
         if (exchange.refuseIfBarred()) {
             return;
         }
-        const candidate = chooseUpstream(exchange, tried);
-        if (!candidate) {
+        const choice = await context.limits.firstPermitted(rankUntried(exchange, tried));
+        if (exchange.isOver) {
+            return;
+        }
+        if (!choice.candidate) {
+            limitedForMs = Number.isFinite(choice.waitMs) ? choice.waitMs : undefined;
             break;
         }
+        const { candidate } = choice;
         if (count > 0 && !context.retryBudget.tryAcquire(service, context.storeView.hosts().length, context.clock())) {
             context.log.decision("retry budget exhausted", { requestId: exchange.metadata.requestId, service });
             break;
@@ -61,7 +67,7 @@
             break;
         }
     }
-    refuseUnserved(exchange);
+    refuseUnserved(exchange, limitedForMs);
 }
 
 function attemptTimeoutMs(exchange: exchanges.Exchange): decision.Milliseconds {
@@ -69,7 +75,8 @@
     return Math.min(waitMs, exchange.remainingMs / 2);
 }
 
-function chooseUpstream(exchange: exchanges.Exchange, tried: ReadonlySet<string>): dispatch.Candidate | undefined {
+/** The upstreams that were not tried yet, best first. */
+function rankUntried(exchange: exchanges.Exchange, tried: ReadonlySet<string>): dispatch.Candidate[] {
     const { context, service } = exchange;
     const options = {
         availabilityZone: context.settings.availabilityZone,
@@ -77,7 +84,7 @@
         random: context.random,
     };
     return dispatch.rankCandidates(context.pool.candidates(service, context.clock()), options, context.clock())
-        .find((candidate) => !tried.has(routing.incarnationOf(candidate.upstream)));
+        .filter((candidate) => !tried.has(routing.incarnationOf(candidate.upstream)));
 }
 
 /** Makes one attempt. Undefined if the request has its final response. */
@@ -147,15 +154,25 @@
     }) && context.retryBudget.remaining(service, context.storeView.hosts().length, context.clock()) > 0;
 }
 
-function refuseUnserved(exchange: exchanges.Exchange): void {
+/** Refuses a request; `limitedForMs` is the time until an upstream takes one again, if upstreams have named limits. */
+function refuseUnserved(exchange: exchanges.Exchange, limitedForMs: decision.Milliseconds | undefined): void {
     if (exchange.mayHaveRun) {
         exchange.refuse({ status: 502, reason: exchanges.FinalReason.ResponseLost });
         return;
     }
+    const jitter = 0.5 + exchange.context.random();
+    if (limitedForMs !== undefined) {
+        exchange.refuse({
+            status: 503,
+            reason: exchanges.FinalReason.NoCapacity,
+            retryAfterMs: limitedForMs + UNAVAILABLE_RETRY_AFTER_MS * jitter,
+        });
+        return;
+    }
     const tried = exchange.callRecords.length > 0;
     exchange.refuse({
         status: 503,
         reason: tried ? exchanges.FinalReason.NotRun : exchanges.FinalReason.NoUpstream,
-        retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS * (0.5 + exchange.context.random()),
+        retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS * jitter,
     });
 }
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -82,7 +82,7 @@
         headersTimeoutMs: Math.min(options.headersTimeoutMs, exchange.remainingMs),
         signal: exchange.signal,
     });
-    const sent = await classifyOutcome(exchange, upstream, outcome, metadata.requestId);
+    const sent = await classifyOutcome(exchange, upstream, outcome, metadata.requestId, startedAt);
     const text = sent.kind === SendKind.Response ? String(sent.response.statusCode) : `${sent.kind}: ${sent.reason}`;
     exchange.recordCall(options.call, upstream.id, text, startedAt);
     recordHealth(health, sent, exchange.isOver, context.clock());
@@ -98,6 +98,7 @@
     upstream: routing.Upstream,
     outcome: calls.CallOutcome,
     requestId: string | undefined,
+    sentAt: decision.Milliseconds,
 ): Promise<SendOutcome> {
     if (outcome.progress !== calls.CallProgress.Responded) {
         return outcome.progress === calls.CallProgress.NotSent
@@ -106,18 +107,15 @@
     }
     const { response } = outcome;
     const metadata = exchange.context.wireFormat.parseResponse(response.headers);
-    if (metadata.limitPerSecond !== undefined) {
-        exchange.context.log.decision("upstream names a limit", {
-            requestId,
-            upstream: upstream.id,
-            limitPerSecond: metadata.limitPerSecond,
-        });
-    }
     if (metadata.requestId !== undefined && requestId !== undefined && metadata.requestId !== requestId) {
         response.destroy();
         return { kind: SendKind.Lost, reason: "answer to another request", broken: false };
     }
     const wrongUpstream = response.statusCode === 421;
+    // A refusal may leave out the limit.
+    if (!wrongUpstream && (metadata.limitPerSecond !== undefined || !metadata.notRun)) {
+        exchange.context.limits.observe(upstream, metadata.limitPerSecond, sentAt);
+    }
     if (metadata.notRun || wrongUpstream) {
         await calls.readBody(response, REFUSAL_BODY_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
         return {
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -2,6 +2,7 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as testing from "@citronlead/testing";
 import * as chai from "chai";
+import * as limits from "../src/limits.js";
 import * as logs from "../src/log.js";
 import * as peers from "../src/peers.js";
 import * as quarantines from "../src/quarantine.js";
@@ -36,6 +37,7 @@
                 quotaTolerance: () => 0,
                 quotaWindowMs: 8_000,
                 quarantine,
+                limits: new limits.UpstreamLimits(clock, log),
                 onStoreUpdate: () => undefined,
             });
         const sender = await open(0);
