Ask whether an upstream still runs before its unframed response counts as whole

A process that crashes closes its connections as one that ends a response does. A response with neither a length nor chunks, cut between two events or anywhere in a plain body, was passed on as whole. The health path of the service is asked now, at the same incarnation; a refused or closed connection, or another incarnation, means that the response was broken off. It is asked for such responses only, and a busy upstream that is slow to answer counts as running.

Test: gateway/test/unframed, the crash between two events.

--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -4,6 +4,7 @@
 import type * as contexts from "../context.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
+import * as liveness from "../liveness.js";
 import * as sends from "../send.js";
 import * as calls from "../upstream/call.js";
 import * as prefills from "./prefill.js";
@@ -191,7 +192,14 @@
         }
         const startedAt = this.context.clock();
         const relayedBefore = exchange.relayedEvents;
-        const end = await relays.relayEvents(exchange, response, progress, silenceMs);
+        const { upstream } = reservation.candidate;
+        const end = await relays.relayEvents(
+            exchange,
+            response,
+            progress,
+            silenceMs,
+            () => liveness.isStillRunning(this.context, upstream),
+        );
         if (end === relays.RelayEnd.Complete) {
             this.context.quarantine.recordServed(exchange);
             this.observeOutput(exchange);
@@ -202,9 +210,9 @@
             return undefined;
         }
         reservation.candidate.health.record(dispatch.SendResult.Unreachable, this.context.clock());
-        exchange.recordCall("events", reservation.candidate.upstream.id, "broken off", this.context.clock());
+        exchange.recordCall("events", upstream.id, "broken off", this.context.clock());
         this.context.quarantine.reportCrash(exchange, {
-            upstream: reservation.candidate.upstream,
+            upstream,
             startedAt,
             decoding: true,
             events: exchange.relayedEvents - relayedBefore,
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -23,12 +23,16 @@
 /** Maximum size of an incomplete event that is buffered. */
 const MAX_EVENT_BYTES = 1_048_576;
 
-/** Relays complete events as they arrive, until the stream ends, breaks or is silent for `silenceMs`. */
+/**
+ * Relays complete events as they arrive, until the stream ends, breaks or is silent for `silenceMs`. `confirmEnd` says
+ * whether the end of a stream without framing was meant by its upstream.
+ */
 export function relayEvents(
     exchange: exchanges.Exchange,
     source: http.IncomingMessage,
     progress: StreamProgress,
     silenceMs: decision.Milliseconds,
+    confirmEnd: () => Promise<boolean>,
 ): Promise<RelayEnd> {
     const { response } = exchange;
     const splitter = new events.EventSplitter();
@@ -72,15 +76,21 @@
                 source.destroy();
             }
         });
-        source.on("close", () => {
+        const isWhole = async () => {
+            if (calls.isFramed(source) || !calls.isComplete(source)) {
+                return calls.isComplete(source);
+            }
+            return exchange.relayedEvents > eventsBefore && splitter.isBetweenEvents && await confirmEnd();
+        };
+        const onClose = async () => {
             clearTimeout(timer);
             exchange.signal.removeEventListener("abort", onAbort);
+            const whole = !exchange.isOver && await isWhole();
             if (exchange.isOver) {
                 resolve(RelayEnd.Over);
                 return;
             }
-            const wroteEvents = exchange.relayedEvents > eventsBefore;
-            if (!calls.isComplete(source) || (!calls.isFramed(source) && !(wroteEvents && splitter.isBetweenEvents))) {
+            if (!whole) {
                 resolve(RelayEnd.Broken);
                 return;
             }
@@ -89,7 +99,8 @@
             }
             exchange.endResponse(exchanges.FinalReason.Served);
             resolve(RelayEnd.Complete);
-        });
+        };
+        source.on("close", () => void onClose());
         if (source.closed) {
             source.emit("close");
         }
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -3,6 +3,7 @@
 import * as routing from "@citronlead/routing";
 import * as exchanges from "./exchange.js";
 import * as headers from "./headers.js";
+import * as liveness from "./liveness.js";
 import * as sends from "./send.js";
 import * as calls from "./upstream/call.js";
 
@@ -106,7 +107,7 @@
         if (sent.kind === sends.SendKind.Lost) {
             return dispatch.SendEffect.MayHaveRun;
         }
-        return await relayResponse(exchange, sent, previousRuns + 1);
+        return await relayResponse(exchange, candidate.upstream, sent, previousRuns + 1);
     }
     finally {
         candidate.health.inFlight--;
@@ -116,6 +117,7 @@
 /** Relays a response as a whole. Returns an effect if it cannot be relayed or a retry is preferable. */
 async function relayResponse(
     exchange: exchanges.Exchange,
+    upstream: routing.Upstream,
     { response, metadata }: Extract<sends.SendOutcome, { kind: sends.SendKind.Response; }>,
     runs: number,
 ): Promise<dispatch.SendEffect | undefined> {
@@ -125,6 +127,10 @@
     if (!body || response.headers["content-encoding"] !== undefined || (success && !metadata.signed)) {
         return dispatch.SendEffect.MayHaveRun;
     }
+    const framed = calls.isFramed(response);
+    if (!framed && !(await liveness.isStillRunning(exchange.context, upstream))) {
+        return dispatch.SendEffect.MayHaveRun;
+    }
     if (exchange.isOver) {
         return undefined;
     }
@@ -132,7 +138,6 @@
         return dispatch.SendEffect.RanAndFailed;
     }
     exchange.context.quarantine.recordServed(exchange);
-    const framed = calls.isFramed(response);
     exchange.beginResponse(
         status,
         headers.responseHeaders(response.rawHeaders, framed ? body.length : undefined),
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -308,10 +308,11 @@
             route("resume", Streaming, { ...stream, resumable: true }),
         ],
         services: [
-            { name: "counter", connectionLimit: 100, engine: undefined },
+            { name: "counter", connectionLimit: 100, healthPath: "/health", engine: undefined },
             {
                 name: "model",
                 connectionLimit: 100,
+                healthPath: "/health",
                 engine: {
                     slots: 8,
                     kvCacheTokens: 50_000,
--- a/packages/gateway/test/unframed.test.ts
+++ b/packages/gateway/test/unframed.test.ts
@@ -18,7 +18,7 @@
     const stream = (text: string, end: End) => {
         let runs = 0;
         engine.behave = (received, response) => {
-            if (received.path.startsWith("/reserve")) {
+            if (received.path.startsWith("/reserve") || received.path === "/health") {
                 response.end(JSON.stringify({ id: "reservation" }));
                 return;
             }
@@ -63,6 +63,19 @@
         chai.expect((await send("/write/1")).status).to.equal(502);
     });
 
+    it("do not look complete when their engine crashes between two events", async () => {
+        stream(EVENTS.slice(0, 2).join(""), close);
+        const { behave } = engine;
+        engine.behave = (received, response, request) => {
+            if (received.path === "/health") {
+                request.socket.destroy();
+                return;
+            }
+            behave(received, response, request);
+        };
+        chai.expect(await send("/write/1")).to.include({ status: 200, complete: false });
+    });
+
     it("go on after the last whole event where they may be resumed", async () => {
         stream(`${EVENTS[0]}id: 2\nda`, close);
         chai.expect(await send("/resume/1")).to.include({ status: 200, body: EVENTS.join(""), complete: true });
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -63,6 +63,8 @@
     readonly name: string;
     /** Maximum number of connections that one upstream accepts from all hosts together. */
     readonly connectionLimit: number;
+    /** Path at which an upstream tells whether it is healthy; undefined if there is none. */
+    readonly healthPath: string | undefined;
     /** Undefined for a plain service. */
     readonly engine: EngineLimits | undefined;
 }
--- a/packages/routing/test/fixture.ts
+++ b/packages/routing/test/fixture.ts
@@ -25,7 +25,7 @@
     return {
         version: 3,
         routes: [makeRoute()],
-        services: [{ name: "counter", connectionLimit: 100, engine: undefined }],
+        services: [{ name: "counter", connectionLimit: 100, healthPath: undefined, engine: undefined }],
         workspaces: [{
             name: "north",
             keys: ["key-1", "key-2"],
