--- a/packages/dispatch/src/crashes.ts
+++ b/packages/dispatch/src/crashes.ts
@@ -115,18 +115,21 @@
         }
     }
 
-    /**
-     * Records a run that no cause of crashes allows: for prompt parts one that is past its start, for contents one to
-     * completion. Returns the fingerprints that were suspects.
-     */
-    recordSound(service: string, fingerprints: readonly string[], now: decision.Milliseconds): string[] {
-        const cleared = fingerprints.filter((fingerprint) => this.suspects.has(fingerprint));
-        this.clear(cleared, now);
-        for (const fingerprint of fingerprints) {
-            newest.setNewest(this.soundAt, fingerprint, now, MAX_SOUND_PARTS);
+    /** Records a run past its start, which no part allows that crashes upstreams. Returns the cleared suspects. */
+    recordStarted({ service, parts }: Fingerprints, now: decision.Milliseconds): string[] {
+        for (const part of parts) {
+            newest.setNewest(this.soundAt, part, now, MAX_SOUND_PARTS);
         }
         this.soundRuns.set(service, this.soundRunsOf(service) + 1);
-        return cleared;
+        return this.clearSuspects(parts, now);
+    }
+
+    /** Records a run to completion, which clears its content too. Returns the cleared suspects. */
+    recordServed(fingerprints: Fingerprints, now: decision.Milliseconds): string[] {
+        return [
+            ...this.recordStarted(fingerprints, now),
+            ...this.clearSuspects([fingerprints.content], now),
+        ];
     }
 
     /** Forgets suspects that were in a sound run, here or at another host. */
@@ -159,6 +162,12 @@
         });
     }
 
+    private clearSuspects(fingerprints: readonly string[], now: decision.Milliseconds): string[] {
+        const cleared = fingerprints.filter((fingerprint) => this.suspects.has(fingerprint));
+        this.clear(cleared, now);
+        return cleared;
+    }
+
     private countCrash(
         fingerprint: string,
         specificity: number,
--- a/packages/dispatch/test/crashes.seeded.test.ts
+++ b/packages/dispatch/test/crashes.seeded.test.ts
@@ -111,16 +111,19 @@
             });
             return;
         }
-        this.schedule(START_MS, () => engine.runs.has(run) && this.recordSound(run, fingerprints.parts));
+        this.schedule(START_MS, () => {
+            if (engine.runs.has(run)) {
+                this.tellSound(run, host.recordStarted(fingerprints, this.now));
+            }
+        });
         this.schedule(this.random.integer(START_MS, 2_500), () => {
             if (engine.runs.delete(run)) {
-                this.recordSound(run, [fingerprints.content, ...parts]);
+                this.tellSound(run, host.recordServed(fingerprints, this.now));
             }
         });
     }
 
-    private recordSound({ host }: Run, fingerprints: readonly string[]): void {
-        const cleared = host.recordSound(SERVICE, fingerprints, this.now);
+    private tellSound({ host }: Run, cleared: readonly string[]): void {
         if (cleared.length > 0) {
             this.tell(host, (other) => other.clear(cleared, this.now));
         }
--- a/packages/dispatch/test/decisions.test.ts
+++ b/packages/dispatch/test/decisions.test.ts
@@ -174,7 +174,7 @@
     });
     const recordOtherRuns = (suspects: dispatch.CrashSuspects, now: number) => {
         for (let run = 0; run < 5; run++) {
-            suspects.recordSound("model", ["other"], now);
+            suspects.recordServed({ service: "model", content: "other", parts: ["another"] }, now);
         }
     };
 
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -102,12 +102,13 @@
 
     /** Records that a run is past its start, which clears its prompt of crashes. */
     recordStarted({ fingerprints }: exchanges.Exchange): void {
-        this.recordSound(fingerprints.service, fingerprints.parts);
+        this.recordSound(fingerprints.parts, (now) => this.suspects.recordStarted(fingerprints, now));
     }
 
     /** Records that a request ran to completion, which clears it of crashes. */
     recordServed({ fingerprints }: exchanges.Exchange): void {
-        this.recordSound(fingerprints.service, [fingerprints.content, ...fingerprints.parts]);
+        const { content, parts } = fingerprints;
+        this.recordSound([content, ...parts], (now) => this.suspects.recordServed(fingerprints, now));
     }
 
     /** Handles the news that another host has barred fingerprints. */
@@ -157,10 +158,14 @@
         }
     }
 
-    private recordSound(service: string, fingerprints: readonly string[]): void {
+    /** Records a sound run; `record` returns the suspects among its fingerprints. */
+    private recordSound(
+        fingerprints: readonly string[],
+        record: (now: decision.Milliseconds) => string[],
+    ): void {
         const now = this.clock();
         const wereBarred = fingerprints.filter((fingerprint) => this.suspects.isBarred([fingerprint], now));
-        const cleared = this.suspects.recordSound(service, fingerprints, now);
+        const cleared = record(now);
         if (cleared.length > 0) {
             wereBarred.forEach((fingerprint) => this.withdrawn.add(fingerprint));
             this.forgetDecisions(cleared);
