--- a/packages/gateway/src/model/stages.ts
+++ b/packages/gateway/src/model/stages.ts
@@ -93,17 +93,23 @@
         return chosen && candidates.find(({ upstream }) => routing.incarnationOf(upstream) === chosen.incarnation);
     }
 
-    /** Takes the duty or proves that this host still has it. Returns the fencing token. */
+    /**
+     * Takes the duty or proves that this host still has it. Returns the fencing token; undefined without a proof. A call
+     * that fails proves nothing and ends nothing: the duty's key lasts as long as the host's lease.
+     */
     private async proveDuty(): Promise<number | undefined> {
         const { clock, log, settings, storeView } = this.context;
         this.triedAt = clock();
         const outcome = await storeView.holdDuty(settings.host);
-        const fencing = outcome.effect === decision.Effect.Known ? outcome.value : undefined;
+        if (outcome.effect !== decision.Effect.Known) {
+            log.notice("stage duty not proved", { fencing: this.fencing, reason: outcome.reason });
+            return undefined;
+        }
+        const fencing = outcome.value;
         if (fencing !== this.fencing) {
             log.notice(fencing === undefined ? "stage duty lost" : "stage duty taken", {
                 fencing,
                 formerFencing: this.fencing,
-                reason: outcome.effect === decision.Effect.Known ? undefined : outcome.reason,
             });
             this.fencing = fencing;
             this.heldSince = clock();
--- a/packages/gateway/test/stages.test.ts
+++ b/packages/gateway/test/stages.test.ts
@@ -12,12 +12,10 @@
 const TIMING = directories.directoryTiming(1_000);
 
 describe("StageKeeper", () => {
-    const fixture = new fixtures.Fixture(2_520);
-    after(() => fixture.close());
-
-    it("orders an idle prefill engine to decode while it has the duty, after the former holder's orders are over", async () => {
+    /** A keeper beside three prefill and three decode engines, under a load that takes long runs. */
+    const makeKeeper = async (fixture: fixtures.Fixture) => {
         const clock = { now: 0 };
-        const duty = { fencing: 7 as number | undefined, proofs: 0 };
+        const duty = { fencing: 7 as number | undefined, reachable: true, proofs: 0 };
         const orders: unknown[] = [];
         for (const id of ["p-1", "p-2", "p-3", "d-1", "d-2", "d-3"]) {
             const stage = id.startsWith("p") ? routing.EngineStage.Prefill : routing.EngineStage.Decode;
@@ -47,7 +45,7 @@
                 activeConfiguration: () => ({ table, adoptedAt: 0 }),
                 holdDuty: async () => {
                     duty.proofs++;
-                    return decision.knownEffect(duty.fencing);
+                    return duty.reachable ? decision.knownEffect(duty.fencing) : decision.unknownEffect("timeout");
                 },
             },
         } as unknown as contexts.GatewayContext;
@@ -61,15 +59,38 @@
             }
             await lifecycle.pause(fixture.scope, 2_300);
         };
+        return { duty, orders, playAt };
+    };
+    const expected = { path: "/order", stage: "decode", holder: "host-1", fencing: 7, expectedOrders: 0 };
+    const opened: fixtures.Fixture[] = [];
+    const openFixture = (portOffset: number) => {
+        const fixture = new fixtures.Fixture(portOffset);
+        opened.push(fixture);
+        return fixture;
+    };
+    after(() => Promise.all(opened.map((fixture) => fixture.close())));
+
+    it("orders an idle prefill engine to decode while it has the duty, after the former holder's orders are over", async () => {
+        const { duty, orders, playAt } = await makeKeeper(openFixture(2_520));
         await playAt(0);
         await playAt(12_000);
         chai.expect(orders, "before the former holder's orders are over").to.deep.equal([]);
         await playAt(14_000);
-        const expected = { path: "/order", stage: "decode", holder: "host-1", fencing: 7, expectedOrders: 0 };
         chai.expect(orders).to.deep.equal([{ id: "p-1", ...expected }]);
         chai.expect(duty.proofs).to.equal(2);
         duty.fencing = undefined;
         await playAt(40_000);
         chai.expect(orders, "after the duty was lost").to.have.length(1);
     }).timeout(20_000);
+
+    it("puts an order off while the store does not answer, and keeps the duty", async () => {
+        const { duty, orders, playAt } = await makeKeeper(openFixture(2_540));
+        await playAt(0);
+        duty.reachable = false;
+        await playAt(14_000);
+        chai.expect(orders, "without a proof of the duty").to.deep.equal([]);
+        duty.reachable = true;
+        await playAt(17_000);
+        chai.expect(orders).to.deep.equal([{ id: "p-1", ...expected }]);
+    }).timeout(20_000);
 });
