Check messages between hosts against a schema

A datagram of a known kind without its fields, as another build may send, threw in the socket's handler and ended the process (the former code, sent {"kind":"crashes"}: TypeError, uncaught). All messages have one schema now, with the defaults for hosts of earlier builds, in a file of their own; what does not match is logged and ignored. Test: gateway/test/peers.

--- a/packages/gateway/src/charge.ts
+++ b/packages/gateway/src/charge.ts
@@ -1,6 +1,6 @@
 import * as routing from "@citronlead/routing";
 import * as exchanges from "./exchange.js";
-import * as peers from "./peers.js";
+import * as messages from "./messages.js";
 
 /**
  * Charges a request to its workspace under the limit of the given configuration version. Refuses the request and
@@ -15,7 +15,7 @@
     const cost = workspace.unit === routing.RateUnit.Requests ? 1 : tokens > 0 ? tokens : workspace.defaultCostTokens;
     const limit = { ratePerSecond: workspace.ratePerSecond, burst: workspace.burst, version };
     const { quotaDecision, decidedBy, refund } = await context.peers.charge(
-        peers.Ledger.Workspaces,
+        messages.Ledger.Workspaces,
         workspace.name,
         limit,
         cost,
--- a/packages/gateway/src/limits.ts
+++ b/packages/gateway/src/limits.ts
@@ -2,7 +2,8 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
 import type * as logs from "./log.js";
-import * as peers from "./peers.js";
+import * as messages from "./messages.js";
+import type * as peers from "./peers.js";
 
 /** Whether a request may be sent to an upstream. */
 export type Permit =
@@ -72,7 +73,7 @@
             return { granted: false, waitMs: spentForMs };
         }
         const limit = { ratePerSecond, burst: 0, version: 0 };
-        const { quotaDecision, refund } = await this.messages.charge(peers.Ledger.Upstreams, incarnation, limit, 1);
+        const { quotaDecision, refund } = await this.messages.charge(messages.Ledger.Upstreams, incarnation, limit, 1);
         if (quotaDecision.granted) {
             return { granted: true, refund };
         }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -5,63 +5,10 @@
 import * as dgram from "node:dgram";
 import type * as limits from "./limits.js";
 import type * as logs from "./log.js";
+import * as messages from "./messages.js";
 import type * as quarantines from "./quarantine.js";
 import type * as settings from "./settings.js";
 
-/** The kinds of message between hosts. */
-enum MessageKind {
-    /** Asks the owner of a workspace's quota for a charge. */
-    Charge = "charge",
-    /** Carries the decision on a charge. */
-    ChargeReply = "charged",
-    /** Takes back a charge. */
-    Refund = "refund",
-    /** Reports requests that were running when upstreams went down. */
-    CrashReports = "crashes",
-    /** Tells which limit an upstream has named. */
-    Limit = "limit",
-    /** Tells which fingerprints are barred from upstreams. */
-    Barred = "barred",
-    /** Tells which fingerprints ran to completion. */
-    Cleared = "cleared",
-    /** Carries what a reader of the store has read. */
-    StoreUpdate = "news",
-}
-
-/** What a charge counts against. */
-export enum Ledger {
-    /** The quota of a workspace. */
-    Workspaces = "workspaces",
-    /** The limit that an upstream names. */
-    Upstreams = "upstreams",
-}
-
-type Message =
-    | {
-        readonly kind: MessageKind.Charge;
-        readonly id: number;
-        /** Hosts of earlier builds send none. */
-        readonly ledger?: Ledger;
-        readonly workspace: string;
-        readonly limit: dispatch.QuotaLimit;
-        readonly cost: number;
-    }
-    | { readonly kind: MessageKind.ChargeReply; readonly id: number; readonly answer: dispatch.QuotaDecision; }
-    | {
-        readonly kind: MessageKind.Refund;
-        readonly ledger?: Ledger;
-        readonly workspace: string;
-        readonly bucket: number;
-        readonly cost: number;
-    }
-    | { readonly kind: MessageKind.CrashReports; readonly reports: readonly dispatch.CrashReport[]; }
-    | { readonly kind: MessageKind.Limit; readonly incarnation: string; readonly perSecond?: number; }
-    | {
-        readonly kind: MessageKind.Barred | MessageKind.Cleared;
-        readonly fingerprints: readonly string[];
-    }
-    | { readonly kind: MessageKind.StoreUpdate; readonly news: routing.StoreUpdate; };
-
 /** Interval between the attempts of a charge: the latency between hosts is about a millisecond. */
 const CHARGE_RETRY_MS = 12;
 /** Number of times that a charge is requested. */
@@ -73,9 +20,6 @@
 /** Interval between the repeated sends of a message to all hosts. */
 const BROADCAST_RESEND_MS = 60;
 
-/** What the crash reports of earlier builds lack. */
-const EARLIER_CRASH_REPORT = { service: "", parts: [], ranMs: 0 };
-
 /** A charge that was decided. */
 export interface Charge {
     readonly quotaDecision: dispatch.QuotaDecision;
@@ -92,7 +36,7 @@
      * respond.
      */
     readonly charge: (
-        ledger: Ledger,
+        ledger: messages.Ledger,
         name: string,
         limit: dispatch.QuotaLimit,
         cost: number,
@@ -122,9 +66,9 @@
     const { clock, listen, log } = options;
     const self = `${listen.address}:${listen.port}`;
     const socket = dgram.createSocket("udp4");
-    const ownedQuotas: Record<Ledger, dispatch.QuotaLimiter> = {
-        [Ledger.Workspaces]: new dispatch.QuotaLimiter(options.quotaWindowMs),
-        [Ledger.Upstreams]: new dispatch.QuotaLimiter(dispatch.LIMIT_WINDOW_MS),
+    const ownedQuotas: Record<messages.Ledger, dispatch.QuotaLimiter> = {
+        [messages.Ledger.Workspaces]: new dispatch.QuotaLimiter(options.quotaWindowMs),
+        [messages.Ledger.Upstreams]: new dispatch.QuotaLimiter(dispatch.LIMIT_WINDOW_MS),
     };
     const fallbackQuotas = new dispatch.QuotaLimiter(options.quotaWindowMs);
     const limitShare = new dispatch.LimitShare();
@@ -132,7 +76,7 @@
     const pendingCharges = new Map<number, (quotaDecision: dispatch.QuotaDecision) => void>();
     const backoffUntilByOwner = new Map<string, decision.Milliseconds>();
     let lastId = 0;
-    const send = (message: Message, address: string) => {
+    const send = (message: messages.Message, address: string) => {
         const [host, port] = address.split(":");
         socket.send(JSON.stringify(message), Number(port), host, (error) => {
             if (error) {
@@ -141,7 +85,7 @@
         });
     };
     /** Sends the message that is right after the given delay to all other hosts, several times. */
-    const broadcast = (makeMessage: (delayMs: decision.Milliseconds) => Message) => {
+    const broadcast = (makeMessage: (delayMs: decision.Milliseconds) => messages.Message) => {
         const startedAt = clock();
         const sendToAll = () => {
             const message = makeMessage(clock() - startedAt);
@@ -153,42 +97,38 @@
     };
     socket.on("error", (error) => log.notice("peer socket failed", { reason: error.message }));
     socket.on("message", (bytes, from) => {
-        const message = parseMessage(bytes);
+        const message = messages.parseMessage(bytes);
         switch (message?.kind) {
-            case MessageKind.Charge: {
-                const owned = ownedQuotas[message.ledger ?? Ledger.Workspaces];
+            case messages.MessageKind.Charge: {
+                const owned = ownedQuotas[message.ledger];
                 const quotaDecision = owned.charge(message.workspace, message.limit, message.cost, clock());
                 send(
-                    { kind: MessageKind.ChargeReply, id: message.id, answer: quotaDecision },
+                    { kind: messages.MessageKind.ChargeReply, id: message.id, answer: quotaDecision },
                     `${from.address}:${from.port}`,
                 );
                 return;
             }
-            case MessageKind.ChargeReply:
+            case messages.MessageKind.ChargeReply:
                 pendingCharges.get(message.id)?.(message.answer);
                 return;
-            case MessageKind.Refund:
-                ownedQuotas[message.ledger ?? Ledger.Workspaces]
+            case messages.MessageKind.Refund:
+                ownedQuotas[message.ledger]
                     .refund(message.workspace, message.bucket, message.cost, clock());
                 return;
-            case MessageKind.CrashReports:
-                // Hosts of earlier builds report the content only.
-                message.reports.forEach((report) =>
-                    options.quarantine.receiveCrash({ ...EARLIER_CRASH_REPORT, ...report })
-                );
+            case messages.MessageKind.CrashReports:
+                message.reports.forEach((report) => options.quarantine.receiveCrash(report));
                 return;
-            case MessageKind.Limit:
+            case messages.MessageKind.Limit:
                 options.limits.receive(message.incarnation, message.perSecond);
                 return;
-            case MessageKind.Barred:
+            case messages.MessageKind.Barred:
                 options.quarantine.receiveBarred(message.fingerprints, from.address);
                 return;
-            case MessageKind.Cleared:
+            case messages.MessageKind.Cleared:
                 options.quarantine.receiveCleared(message.fingerprints);
                 return;
-            case MessageKind.StoreUpdate:
-                // Hosts of earlier builds send no era.
-                options.onStoreUpdate({ ...message.news, era: message.news.era ?? 0 });
+            case messages.MessageKind.StoreUpdate:
+                options.onStoreUpdate({ ...message.news, configuration: message.news.configuration });
                 return;
             case undefined:
                 log.decision("malformed datagram", { from: from.address, bytes: bytes.length });
@@ -198,7 +138,7 @@
     options.scope.defer(() => new Promise((resolve) => socket.close(resolve)));
     const requestCharge = (
         owner: string,
-        ledger: Ledger,
+        ledger: messages.Ledger,
         workspace: string,
         limit: dispatch.QuotaLimit,
         cost: number,
@@ -215,15 +155,15 @@
                 finish(undefined);
                 return;
             }
-            send({ kind: MessageKind.Charge, id, ledger, workspace, limit, cost }, owner);
+            send({ kind: messages.MessageKind.Charge, id, ledger, workspace, limit, cost }, owner);
         };
         const timer = setInterval(sendCharge, CHARGE_RETRY_MS);
         pendingCharges.set(id, finish);
         sendCharge();
     });
-    const chargeLocally = (ledger: Ledger, name: string, limit: dispatch.QuotaLimit, cost: number) => {
+    const chargeLocally = (ledger: messages.Ledger, name: string, limit: dispatch.QuotaLimit, cost: number) => {
         const hostCount = options.hosts().length;
-        if (ledger === Ledger.Upstreams) {
+        if (ledger === messages.Ledger.Upstreams) {
             return limitShare.charge(name, limit.ratePerSecond, hostCount, clock());
         }
         const ownLimit = dispatch.fallbackLimit(limit, options.quotaTolerance(), hostCount);
@@ -259,7 +199,8 @@
                     return makeCharge(
                         quotaDecision,
                         owner,
-                        (bucket) => send({ kind: MessageKind.Refund, ledger, workspace: name, bucket, cost }, owner),
+                        (bucket) =>
+                            send({ kind: messages.MessageKind.Refund, ledger, workspace: name, bucket, cost }, owner),
                     );
                 }
                 backoffUntilByOwner.set(owner, clock() + OWNER_BACKOFF_MS);
@@ -276,30 +217,20 @@
         },
         broadcastLimit: (incarnation, perSecond) =>
             broadcast(() => ({
-                kind: MessageKind.Limit,
+                kind: messages.MessageKind.Limit,
                 incarnation,
                 ...(perSecond === undefined ? {} : { perSecond }),
             })),
         sendStoreUpdate: (update, hosts) =>
-            hosts.forEach((host) => send({ kind: MessageKind.StoreUpdate, news: update }, host)),
+            hosts.forEach((host) => send({ kind: messages.MessageKind.StoreUpdate, news: update }, host)),
         quarantine: {
             broadcastCrash: (report) =>
                 broadcast((delayMs) => ({
-                    kind: MessageKind.CrashReports,
+                    kind: messages.MessageKind.CrashReports,
                     reports: [{ ...report, ranMs: Math.round(report.ranMs + delayMs) }],
                 })),
-            broadcastBarred: (fingerprints) => broadcast(() => ({ kind: MessageKind.Barred, fingerprints })),
-            broadcastCleared: (fingerprints) => broadcast(() => ({ kind: MessageKind.Cleared, fingerprints })),
+            broadcastBarred: (fingerprints) => broadcast(() => ({ kind: messages.MessageKind.Barred, fingerprints })),
+            broadcastCleared: (fingerprints) => broadcast(() => ({ kind: messages.MessageKind.Cleared, fingerprints })),
         },
     };
 }
-
-function parseMessage(bytes: Buffer): Message | undefined {
-    try {
-        const message = JSON.parse(bytes.toString("utf8")) as Message;
-        return Object.values(MessageKind).includes(message.kind) ? message : undefined;
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -12,6 +12,8 @@
 const MAX_PARTS = 32;
 /** Spread of the reviews of one crash over the hosts, so that the first to decide tells most of the others. */
 const REVIEW_SPREAD_MS = 60;
+/** How long the host that barred a fingerprint writes it to the store again if it is missing there. */
+const SAVE_PERIOD_MS = dispatch.SUSPECT_TTL_MS / 2;
 /** Length of a fingerprint in characters. */
 const FINGERPRINT_LENGTH = 16;
 
@@ -55,8 +57,8 @@
 /** Keeps requests that crash upstreams from being sent to more of them, together with the other hosts. */
 export class Quarantine {
     private readonly suspects = new dispatch.CrashSuspects();
-    /** Fingerprints that this host has barred. The store keeps them for hosts that start later. */
-    private readonly ownDecisions = new Set<string>();
+    /** Fingerprints that this host has barred, and when. The store keeps them for hosts that start later. */
+    private readonly ownDecisions = new Map<string, decision.Milliseconds>();
     /** Fingerprints that turned out to be sound and are to be removed from the store. */
     private readonly withdrawn = new Set<string>();
     private reconciling = false;
@@ -133,8 +135,13 @@
             return;
         }
         this.reconciling = true;
-        const missing = [...this.ownDecisions].filter((fingerprint) => !stored.includes(fingerprint));
-        for (const fingerprint of missing) {
+        for (const [fingerprint, decidedAt] of [...this.ownDecisions]) {
+            if (this.clock() - decidedAt >= SAVE_PERIOD_MS) {
+                this.ownDecisions.delete(fingerprint);
+            }
+            if (stored.includes(fingerprint) || !this.ownDecisions.has(fingerprint)) {
+                continue;
+            }
             const saved = await store.saveBarred(fingerprint);
             this.log.notice("barred fingerprint saved", { fingerprint, ...describeOutcome(saved) });
         }
@@ -180,7 +187,7 @@
     private review(): void {
         const barred = this.suspects.review(this.clock());
         if (barred.length > 0) {
-            barred.forEach((fingerprint) => this.ownDecisions.add(fingerprint));
+            barred.forEach((fingerprint) => this.ownDecisions.set(fingerprint, this.clock()));
             this.messages?.broadcastBarred(barred);
             this.log.notice("barred from upstreams", { fingerprints: barred, source: "own decision" });
         }
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -2,6 +2,7 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as testing from "@citronlead/testing";
 import * as chai from "chai";
+import * as dgram from "node:dgram";
 import * as limits from "../src/limits.js";
 import * as logs from "../src/log.js";
 import * as peers from "../src/peers.js";
@@ -20,13 +21,18 @@
 const MIN_REPEAT_MS = 50;
 
 describe("Messages between hosts", () => {
-    it("add the delay of a repeated crash report to the time of its run, which is not to look like a later one", async () => {
-        const scope = new lifecycle.Scope("test");
-        const port = testing.testPortBase(2_290);
-        const clock = lifecycle.monotonicClock;
+    const port = testing.testPortBase(2_290);
+    const clock = lifecycle.monotonicClock;
+    const report = { service: "model", content: "c", parts: ["p"], incarnation: "a@1", ranMs: 10 };
+    let scope: lifecycle.Scope;
+    let quarantine: RecordingQuarantine;
+    let sender: peers.Peers;
+
+    beforeEach(async () => {
+        scope = new lifecycle.Scope("test");
         const log = logs.makeDecisionLog({}, clock, () => undefined);
         const hosts = [port, port + 1].map((each) => `127.0.0.1:${each}`);
-        const quarantine = new RecordingQuarantine(clock, log, () => 0);
+        quarantine = new RecordingQuarantine(clock, log, () => 0);
         const open = (offset: number) =>
             peers.openPeers({
                 scope,
@@ -40,17 +46,43 @@
                 limits: new limits.UpstreamLimits(clock, log),
                 onStoreUpdate: () => undefined,
             });
-        const sender = await open(0);
+        sender = await open(0);
         await open(1);
-        const report = { service: "model", content: "c", parts: ["p"], incarnation: "a@1", ranMs: 10 };
-        sender.quarantine.broadcastCrash(report);
-        for (let tries = 0; tries < 100 && quarantine.received.length < 2; tries++) {
+    });
+    afterEach(() => scope.close());
+
+    const waitForReports = async (count: number) => {
+        for (let tries = 0; tries < 100 && quarantine.received.length < count; tries++) {
             await lifecycle.pause(scope, 20);
         }
-        await scope.close();
-        chai.expect(quarantine.received.length).to.equal(2);
+        chai.expect(quarantine.received.length).to.equal(count);
+    };
+
+    it("add the delay of a repeated crash report to the time of its run, which is not to look like a later one", async () => {
+        sender.quarantine.broadcastCrash(report);
+        await waitForReports(2);
         const [first, second] = quarantine.received as [dispatch.CrashReport, dispatch.CrashReport];
         chai.expect(first.ranMs).to.be.least(report.ranMs);
         chai.expect(second.ranMs - first.ranMs).to.be.above(MIN_REPEAT_MS);
     });
+
+    it("that this build cannot read are ignored, and those of earlier builds are read", async () => {
+        const socket = dgram.createSocket("udp4");
+        scope.defer(() => new Promise((resolve) => socket.close(resolve)));
+        const sendRaw = (message: unknown) => socket.send(JSON.stringify(message), port + 1, "127.0.0.1");
+        for (const kind of ["charge", "charged", "refund", "crashes", "limit", "barred", "cleared", "news", "later"]) {
+            sendRaw({ kind });
+        }
+        const limit = { ratePerSecond: 1, burst: 1, version: 1 };
+        sendRaw({ kind: "charge", id: 1, ledger: "later", workspace: "north", limit, cost: 1 });
+        sendRaw({ kind: "crashes", reports: [{ content: "c", incarnation: "a@1" }] });
+        await waitForReports(1);
+        chai.expect(quarantine.received[0]).to.deep.equal({
+            service: "",
+            content: "c",
+            parts: [],
+            incarnation: "a@1",
+            ranMs: 0,
+        });
+    });
 });
