Send no message between hosts once the socket is closed

The repeat of a report, 60 ms later, or a charge that was under way found the socket of a stopped host closed, threw, and ended the process before it had finished its stop. Timers of messages belong to the scope now. Test: gateway/test/peers, an uncaught error before.

--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -1,6 +1,6 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
-import type * as lifecycle from "@citronlead/lifecycle";
+import * as lifecycle from "@citronlead/lifecycle";
 import type * as routing from "@citronlead/routing";
 import * as dgram from "node:dgram";
 import type * as limits from "./limits.js";
@@ -77,6 +77,10 @@
     const backoffUntilByOwner = new Map<string, decision.Milliseconds>();
     let lastId = 0;
     const send = (message: messages.Message, address: string) => {
+        // The socket closes with the scope.
+        if (options.scope.closed) {
+            return;
+        }
         const [host, port] = address.split(":");
         socket.send(JSON.stringify(message), Number(port), host, (error) => {
             if (error) {
@@ -92,7 +96,7 @@
             options.hosts().filter((address) => address !== self).forEach((host) => send(message, host));
         };
         for (let repeat = 0; repeat < BROADCAST_SENDS; repeat++) {
-            setTimeout(sendToAll, repeat * BROADCAST_RESEND_MS).unref();
+            lifecycle.after(options.scope, repeat * BROADCAST_RESEND_MS, sendToAll);
         }
     };
     socket.on("error", (error) => log.notice("peer socket failed", { reason: error.message }));
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -5,6 +5,7 @@
 import * as dgram from "node:dgram";
 import * as limits from "../src/limits.js";
 import * as logs from "../src/log.js";
+import * as messages from "../src/messages.js";
 import * as peers from "../src/peers.js";
 import * as quarantines from "../src/quarantine.js";
 
@@ -66,6 +67,19 @@
         chai.expect(second.ranMs - first.ranMs).to.be.above(MIN_REPEAT_MS);
     });
 
+    it("end with the host, also those whose repeat is due or that are sent later", async () => {
+        sender.quarantine.broadcastCrash(report);
+        await scope.close();
+        sender.quarantine.broadcastCleared(["p"]);
+        const limit = { ratePerSecond: 1, burst: 1, version: 1 };
+        const charges = ["north", "south", "east"].map((name) =>
+            sender.charge(messages.Ledger.Workspaces, name, limit, 1)
+        );
+        await Promise.all(charges);
+        // Longer than the interval between the repeats.
+        await new Promise((resolve) => setTimeout(resolve, 2 * MIN_REPEAT_MS));
+    });
+
     it("that this build cannot read are ignored, and those of earlier builds are read", async () => {
         const socket = dgram.createSocket("udp4");
         scope.defer(() => new Promise((resolve) => socket.close(resolve)));
