Fail the start of a host whose port for messages is taken

The process waited for ever for a socket that could not be bound: it took no requests, wrote one line and did not end, so that nothing started it again. Test: gateway/test/peers, timed out before.

--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -138,7 +138,13 @@
                 log.decision("malformed datagram", { from: from.address, bytes: bytes.length });
         }
     });
-    await new Promise<void>((resolve) => socket.bind(listen.port, listen.address, resolve));
+    await new Promise<void>((resolve, reject) => {
+        socket.once("error", reject);
+        socket.bind(listen.port, listen.address, () => {
+            socket.off("error", reject);
+            resolve();
+        });
+    });
     options.scope.defer(() => new Promise((resolve) => socket.close(resolve)));
     const requestCharge = (
         owner: string,
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -29,24 +29,26 @@
     let quarantine: RecordingQuarantine;
     let sender: peers.Peers;
 
+    const log = logs.makeDecisionLog({}, clock, () => undefined);
+    const hosts = [port, port + 1].map((each) => `127.0.0.1:${each}`);
+
+    const open = (offset: number) =>
+        peers.openPeers({
+            scope,
+            clock,
+            log,
+            listen: { address: "127.0.0.1", port: port + offset },
+            hosts: () => hosts,
+            quotaTolerance: () => 0,
+            quotaWindowMs: 8_000,
+            quarantine,
+            limits: new limits.UpstreamLimits(clock, log),
+            onStoreUpdate: () => undefined,
+        });
+
     beforeEach(async () => {
         scope = new lifecycle.Scope("test");
-        const log = logs.makeDecisionLog({}, clock, () => undefined);
-        const hosts = [port, port + 1].map((each) => `127.0.0.1:${each}`);
         quarantine = new RecordingQuarantine(clock, log, () => 0);
-        const open = (offset: number) =>
-            peers.openPeers({
-                scope,
-                clock,
-                log,
-                listen: { address: "127.0.0.1", port: port + offset },
-                hosts: () => hosts,
-                quotaTolerance: () => 0,
-                quotaWindowMs: 8_000,
-                quarantine,
-                limits: new limits.UpstreamLimits(clock, log),
-                onStoreUpdate: () => undefined,
-            });
         sender = await open(0);
         await open(1);
     });
@@ -67,6 +69,11 @@
         chai.expect(second.ranMs - first.ranMs).to.be.above(MIN_REPEAT_MS);
     });
 
+    it("fail the start of a host whose port is taken, so that it does not hang", async () => {
+        const failure = await open(1).then(() => undefined, (error: Error) => error.message);
+        chai.expect(failure).to.match(/EADDRINUSE/);
+    });
+
     it("end with the host, also those whose repeat is due or that are sent later", async () => {
         sender.quarantine.broadcastCrash(report);
         await scope.close();
