Choose the engine of a second prefill by what is known then

A prefill that fails is tried at a second engine, which came from a ranking made before the first try: up to 1.5 s later it may have begun to drain. Engines are ranked anew for each try. Test: gateway/test/prefill, two sends instead of one before.

--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -38,26 +38,19 @@
     /** Runs the prefill of a request for the given decode engine. Undefined if no engine completed it. */
     async prefill(exchange: exchanges.Exchange, decodeEngine: routing.Upstream): Promise<PrefillResult | undefined> {
         const { context, service } = exchange;
-        const engines = context.pool.candidates(service, context.clock())
-            .filter(({ upstream }) => upstream.stage === routing.EngineStage.Prefill);
-        const options = {
-            availabilityZone: decodeEngine.availabilityZone,
-            crossZonePenalty: CROSS_ZONE_PENALTY,
-            random: context.random,
-        };
-        const untried = dispatch.rankCandidates(engines, options, context.clock());
-        for (let index = 0; index < ENGINES_PER_PREFILL; index++) {
-            const { candidate } = await context.limits.firstPermitted(untried);
-            if (!candidate) {
-                return undefined;
-            }
-            untried.splice(untried.indexOf(candidate), 1);
+        const tried = new Set<string>();
+        while (tried.size < ENGINES_PER_PREFILL) {
+            // Ranked anew each time: an engine may have begun to drain while another was tried.
+            const { candidate } = await context.limits.firstPermitted(rankUntried(exchange, decodeEngine, tried));
             const hostCount = context.storeView.hosts().length;
             if (
-                exchange.isOver || (index > 0 && !context.retryBudget.tryAcquire(service, hostCount, context.clock()))
+                !candidate
+                || exchange.isOver
+                || (tried.size > 0 && !context.retryBudget.tryAcquire(service, hostCount, context.clock()))
             ) {
                 return undefined;
             }
+            tried.add(routing.incarnationOf(candidate.upstream));
             const result = await this.prefillAt(exchange, candidate);
             if (result) {
                 return result;
@@ -123,6 +116,23 @@
     }
 }
 
+/** The prefill engines that were not tried yet, best first. */
+function rankUntried(
+    { context, service }: exchanges.Exchange,
+    decodeEngine: routing.Upstream,
+    tried: ReadonlySet<string>,
+): dispatch.Candidate[] {
+    const engines = context.pool.candidates(service, context.clock()).filter(({ upstream }) =>
+        upstream.stage === routing.EngineStage.Prefill && !tried.has(routing.incarnationOf(upstream))
+    );
+    const options = {
+        availabilityZone: decodeEngine.availabilityZone,
+        crossZonePenalty: CROSS_ZONE_PENALTY,
+        random: context.random,
+    };
+    return dispatch.rankCandidates(engines, options, context.clock());
+}
+
 /** Releases a prefill result that no engine will fetch. */
 export function releasePrefill(exchange: exchanges.Exchange, prefill: PrefillResult): void {
     const call = exchange.context.wireFormat.releasePrefillCall(prefill.handle);
