Take an engine that does not answer for gone when its unframed stream has ended

Whether an engine still runs was asked by its service's health check, which waits for a slot, so silence counted as running. An engine's state is answered at once whatever its load: it is asked now, and silence means that the stream was broken off. Plain services are asked by their health check as before. Test: gateway/test/unframed, an engine that refuses, and one that is silent.

--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -1,12 +1,18 @@
-import type * as decision from "@citronlead/decision";
 import * as routing from "@citronlead/routing";
 import type * as contexts from "./context.js";
 import * as calls from "./upstream/call.js";
 
-/** Time to wait for a health response. An upstream that takes longer is busy: one that crashed refuses connections. */
-const HEALTH_TIMEOUT_MS = 300;
+/** Time to wait for a response. Engines respond at once, so one that takes longer is gone. */
+const RESPONSE_TIMEOUT_MS = 300;
 /** Attempts before an upstream counts as gone: the first may use a connection that was closed while idle. */
-const HEALTH_ATTEMPTS = 2;
+const ATTEMPTS = 2;
+
+/** How a running upstream of a service is recognised. */
+interface Probe {
+    readonly path: string;
+    /** Whether one that does not respond in time runs: the health check of a plain service waits for a slot. */
+    readonly silentIsRunning: boolean;
+}
 
 /**
  * Whether the upstream that ended a response with its connection still runs. One that crashed has closed its connections
@@ -16,26 +22,33 @@
     context: contexts.GatewayContext,
     upstream: routing.Upstream,
 ): Promise<boolean> {
-    const path = context.storeView.activeConfiguration()?.table.serviceByName.get(upstream.service)?.healthPath;
-    if (path === undefined) {
-        return true;
-    }
-    for (let attempt = 0; attempt < HEALTH_ATTEMPTS; attempt++) {
-        const running = await askHealth(context, upstream, path, HEALTH_TIMEOUT_MS);
+    const probe = probeOf(context, upstream);
+    for (let attempt = 0; probe && attempt < ATTEMPTS; attempt++) {
+        const running = await sendProbe(context, upstream, probe);
         if (running !== undefined) {
             return running;
         }
     }
-    context.log.decision("upstream gone after a response without framing", { upstream: upstream.id });
-    return false;
+    if (probe) {
+        context.log.decision("upstream gone after a response without framing", { upstream: upstream.id });
+    }
+    return !probe;
+}
+
+/** Undefined if the service has no way to tell. */
+function probeOf({ storeView, wireFormat }: contexts.GatewayContext, { service }: routing.Upstream): Probe | undefined {
+    const known = storeView.activeConfiguration()?.table.serviceByName.get(service);
+    if (known?.engine) {
+        return { path: wireFormat.engineStatePath, silentIsRunning: false };
+    }
+    return known?.healthPath === undefined ? undefined : { path: known.healthPath, silentIsRunning: true };
 }
 
-/** Whether this incarnation responds; undefined if its connection was refused or closed. */
-async function askHealth(
+/** Whether this incarnation responds; undefined if its connection was refused or closed, or it is silent. */
+async function sendProbe(
     context: contexts.GatewayContext,
     upstream: routing.Upstream,
-    path: string,
-    timeoutMs: decision.Milliseconds,
+    { path, silentIsRunning }: Probe,
 ): Promise<boolean | undefined> {
     const outcome = await calls.startCall(context.agent, {
         upstream,
@@ -44,12 +57,13 @@
         path,
         headers: ["Host", upstream.address, ...context.wireFormat.engineCallHeaders(upstream.id)],
         body: undefined,
-        headersTimeoutMs: timeoutMs,
+        headersTimeoutMs: RESPONSE_TIMEOUT_MS,
         signal: undefined,
     });
     if (outcome.progress !== calls.CallProgress.Responded) {
-        return outcome.progress === calls.CallProgress.NoResponse && !outcome.broken ? true : undefined;
+        const isSilent = outcome.progress === calls.CallProgress.NoResponse && !outcome.broken;
+        return isSilent && silentIsRunning ? true : undefined;
     }
-    await calls.readBody(outcome.response, timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
+    await calls.readBody(outcome.response, RESPONSE_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
     return outcome.response.statusCode !== 421;
 }
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -87,6 +87,8 @@
     readonly releaseReservationCall: (reservation: string) => EngineCall;
     readonly stageOrderCall: (order: StageOrder) => EngineCall;
     readonly releasePrefillCall: (handle: string) => EngineCall;
+    /** Path at which an engine tells its state, whatever its load. */
+    readonly engineStatePath: string;
     /** Path of the load balancer's readiness probe. */
     readonly readinessPath: string;
 }
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -67,6 +67,7 @@
     releaseReservationCall: (reservation) => ({ method: "DELETE", path: `/reserve/${reservation}`, body: undefined }),
     stageOrderCall: (order) => ({ method: "POST", path: "/order", body: order }),
     releasePrefillCall: (handle) => ({ method: "DELETE", path: `/prefill/${handle}`, body: undefined }),
+    engineStatePath: "/state",
     readinessPath: "/ready",
 };
 
--- a/packages/gateway/test/unframed.test.ts
+++ b/packages/gateway/test/unframed.test.ts
@@ -1,6 +1,7 @@
 import * as routing from "@citronlead/routing";
 import * as chai from "chai";
-import * as http from "node:http";
+import type * as http from "node:http";
+import type * as net from "node:net";
 import * as fixtures from "./fixture.js";
 
 const EVENTS = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
@@ -18,7 +19,7 @@
     const stream = (text: string, end: End) => {
         let runs = 0;
         engine.behave = (received, response) => {
-            if (received.path.startsWith("/reserve") || received.path === "/health") {
+            if (received.path.startsWith("/reserve") || received.path === "/state") {
                 response.end(JSON.stringify({ id: "reservation" }));
                 return;
             }
@@ -64,16 +65,14 @@
     });
 
     it("do not look complete when their engine crashes between two events", async () => {
-        stream(EVENTS.slice(0, 2).join(""), close);
-        const { behave } = engine;
-        engine.behave = (received, response, request) => {
-            if (received.path === "/health") {
-                request.socket.destroy();
-                return;
-            }
-            behave(received, response, request);
-        };
-        chai.expect(await send("/write/1")).to.include({ status: 200, complete: false });
+        // It refuses connections at first, then its host is silent.
+        for (const onState of [(socket: net.Socket) => void socket.destroy(), () => undefined]) {
+            stream(EVENTS.slice(0, 2).join(""), close);
+            const { behave } = engine;
+            engine.behave = (received, response, request) =>
+                received.path === "/state" ? onState(request.socket) : behave(received, response, request);
+            chai.expect(await send("/write/1")).to.include({ status: 200, complete: false });
+        }
     });
 
     it("go on after the last whole event where they may be resumed", async () => {
