Rank upstreams for a send in one place

Plain requests, reservations and prefills each collected, filtered and ranked the candidates of their service; the third copy came with the ranking for each try of a prefill. One function takes what differs: zone, penalty and which upstreams are eligible. Behaviour is as before, but that plain requests no longer rank what they have tried.

--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -4,6 +4,7 @@
 import type * as exchanges from "../exchange.js";
 import * as sends from "../send.js";
 import * as calls from "../upstream/call.js";
+import * as ranking from "../upstream/ranking.js";
 import * as reservations from "./reservation.js";
 
 /** Maximum number of engines that are tried for one prefill. */
@@ -118,19 +119,15 @@
 
 /** The prefill engines that were not tried yet, best first. */
 function rankUntried(
-    { context, service }: exchanges.Exchange,
-    decodeEngine: routing.Upstream,
+    exchange: exchanges.Exchange,
+    { availabilityZone }: routing.Upstream,
     tried: ReadonlySet<string>,
 ): dispatch.Candidate[] {
-    const engines = context.pool.candidates(service, context.clock()).filter(({ upstream }) =>
-        upstream.stage === routing.EngineStage.Prefill && !tried.has(routing.incarnationOf(upstream))
+    return ranking.rankUpstreams(
+        exchange,
+        { availabilityZone, crossZonePenalty: CROSS_ZONE_PENALTY },
+        (upstream) => upstream.stage === routing.EngineStage.Prefill && !tried.has(routing.incarnationOf(upstream)),
     );
-    const options = {
-        availabilityZone: decodeEngine.availabilityZone,
-        crossZonePenalty: CROSS_ZONE_PENALTY,
-        random: context.random,
-    };
-    return dispatch.rankCandidates(engines, options, context.clock());
 }
 
 /** Releases a prefill result that no engine will fetch. */
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -3,6 +3,7 @@
 import * as routing from "@citronlead/routing";
 import type * as exchanges from "../exchange.js";
 import * as sends from "../send.js";
+import * as ranking from "../upstream/ranking.js";
 import type * as queues from "./queue.js";
 import * as queueing from "./queue.js";
 
@@ -71,15 +72,12 @@
 
 /** The engines that can decode, best first. */
 function rankDecodeEngines(exchange: exchanges.Exchange): dispatch.Candidate[] {
-    const { context, service } = exchange;
-    const engines = context.pool.candidates(service, context.clock())
-        .filter(({ upstream }) => upstream.stage !== routing.EngineStage.Prefill);
-    const options = {
-        availabilityZone: context.settings.availabilityZone,
-        crossZonePenalty: CROSS_ZONE_PENALTY,
-        random: context.random,
-    };
-    return dispatch.rankCandidates(engines, options, context.clock());
+    const { availabilityZone } = exchange.context.settings;
+    return ranking.rankUpstreams(
+        exchange,
+        { availabilityZone, crossZonePenalty: CROSS_ZONE_PENALTY },
+        ({ stage }) => stage !== routing.EngineStage.Prefill,
+    );
 }
 
 async function tryReserve(
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -6,6 +6,7 @@
 import * as liveness from "./liveness.js";
 import * as sends from "./send.js";
 import * as calls from "./upstream/call.js";
+import * as ranking from "./upstream/ranking.js";
 
 /**
  * Share of the latency target after which an idempotent request is sent elsewhere, while the target can still be met.
@@ -78,14 +79,12 @@
 
 /** The upstreams that were not tried yet, best first. */
 function rankUntried(exchange: exchanges.Exchange, tried: ReadonlySet<string>): dispatch.Candidate[] {
-    const { context, service } = exchange;
-    const options = {
-        availabilityZone: context.settings.availabilityZone,
-        crossZonePenalty: CROSS_ZONE_PENALTY,
-        random: context.random,
-    };
-    return dispatch.rankCandidates(context.pool.candidates(service, context.clock()), options, context.clock())
-        .filter((candidate) => !tried.has(routing.incarnationOf(candidate.upstream)));
+    const { availabilityZone } = exchange.context.settings;
+    return ranking.rankUpstreams(
+        exchange,
+        { availabilityZone, crossZonePenalty: CROSS_ZONE_PENALTY },
+        (upstream) => !tried.has(routing.incarnationOf(upstream)),
+    );
 }
 
 /** Makes one attempt. Undefined if the request has its final response. */
--- /dev/null
+++ b/packages/gateway/src/upstream/ranking.ts
@@ -0,0 +1,17 @@
+import * as dispatch from "@citronlead/dispatch";
+import type * as routing from "@citronlead/routing";
+import type * as exchanges from "../exchange.js";
+
+/** Where a request is best sent. */
+export type RankingOptions = Omit<dispatch.PlacementOptions, "random">;
+
+/** The upstreams of a request's service that accept new work and the given request, best first. */
+export function rankUpstreams(
+    { context, service }: exchanges.Exchange,
+    options: RankingOptions,
+    isEligible: (upstream: routing.Upstream) => boolean,
+): dispatch.Candidate[] {
+    const now = context.clock();
+    const candidates = context.pool.candidates(service, now).filter(({ upstream }) => isEligible(upstream));
+    return dispatch.rankCandidates(candidates, { ...options, random: context.random }, now);
+}
