Start the probe of a running upstream as other control calls are

The probe after an unframed response built the same call to an upstream as callEngine does, with the same headers; it only reads the outcome otherwise. Both start it by one function now.

--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -1,5 +1,6 @@
-import * as routing from "@citronlead/routing";
+import type * as routing from "@citronlead/routing";
 import type * as contexts from "./context.js";
+import * as sends from "./send.js";
 import * as calls from "./upstream/call.js";
 
 /** Time to wait for a response. Engines respond at once, so one that takes longer is gone. */
@@ -50,16 +51,8 @@
     upstream: routing.Upstream,
     { path, silentIsRunning }: Probe,
 ): Promise<boolean | undefined> {
-    const outcome = await calls.startCall(context.agent, {
-        upstream,
-        incarnation: routing.incarnationOf(upstream),
-        method: "GET",
-        path,
-        headers: ["Host", upstream.address, ...context.wireFormat.engineCallHeaders(upstream.id)],
-        body: undefined,
-        headersTimeoutMs: RESPONSE_TIMEOUT_MS,
-        signal: undefined,
-    });
+    const call = { method: "GET", path, body: undefined };
+    const outcome = await sends.startControlCall(context, upstream, call, RESPONSE_TIMEOUT_MS);
     if (outcome.progress !== calls.CallProgress.Responded) {
         const isSilent = outcome.progress === calls.CallProgress.NoResponse && !outcome.broken;
         return isSilent && silentIsRunning ? true : undefined;
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -148,15 +148,15 @@
 /** The response to a control call: its status and parsed body. */
 export type ControlOutcome = decision.Outcome<{ readonly status: number; readonly body: unknown; }>;
 
-/** Makes a control call to an engine, such as a reservation. */
-export async function callEngine(
+/** Starts a control call to an upstream, such as a reservation; its response belongs to no request. */
+export function startControlCall(
     context: contexts.GatewayContext,
-    { upstream }: dispatch.Candidate,
+    upstream: routing.Upstream,
     call: wires.EngineCall,
     timeoutMs: decision.Milliseconds,
-): Promise<ControlOutcome> {
+): Promise<calls.CallOutcome> {
     const body = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
-    const outcome = await calls.startCall(context.agent, {
+    return calls.startCall(context.agent, {
         upstream,
         incarnation: routing.incarnationOf(upstream),
         method: call.method,
@@ -171,6 +171,16 @@
         headersTimeoutMs: timeoutMs,
         signal: undefined,
     });
+}
+
+/** Makes a control call to an engine, such as a reservation. */
+export async function callEngine(
+    context: contexts.GatewayContext,
+    { upstream }: dispatch.Candidate,
+    call: wires.EngineCall,
+    timeoutMs: decision.Milliseconds,
+): Promise<ControlOutcome> {
+    const outcome = await startControlCall(context, upstream, call, timeoutMs);
     if (outcome.progress !== calls.CallProgress.Responded) {
         return outcome.progress === calls.CallProgress.NotSent
             ? decision.noEffect(outcome.reason)
