Say plainly what is saved of barred fingerprints, and how limits reach other hosts

The loop over a host's decisions deleted an entry and asked in the next line whether it was there. The field `messages` of the limits stood beside the module of that name. No change of behaviour.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -104,7 +104,7 @@
     });
     storeView.setPublisher(peerChannel.sendStoreUpdate);
     quarantine.setMessages(peerChannel.quarantine);
-    upstreamLimits.setMessages(peerChannel);
+    upstreamLimits.setChannel(peerChannel);
     const context: contexts.GatewayContext = {
         scope,
         settings,
--- a/packages/gateway/src/limits.ts
+++ b/packages/gateway/src/limits.ts
@@ -27,25 +27,28 @@
         readonly waitMs: decision.Milliseconds;
     };
 
+/** How other hosts are told of limits and asked for permits. */
+export type LimitChannel = Pick<peers.Peers, "charge" | "broadcastLimit">;
+
 const UNLIMITED: Permit = { granted: true, refund: () => undefined };
 
 /** Keeps the limits that upstreams in need name, together with the other hosts. */
 export class UpstreamLimits {
     private readonly limits = new dispatch.NamedLimits();
-    private messages: Pick<peers.Peers, "charge" | "broadcastLimit"> | undefined;
+    private channel: LimitChannel | undefined;
 
     constructor(private readonly clock: decision.Clock, private readonly log: logs.DecisionLog) {}
 
     /** Sets how other hosts are reached; until then every request is granted. */
-    setMessages(messages: Pick<peers.Peers, "charge" | "broadcastLimit">): void {
-        this.messages = messages;
+    setChannel(channel: LimitChannel): void {
+        this.channel = channel;
     }
 
     /** Records the limit in the answer to a request that was sent at `sentAt`; undefined if there is none. */
     observe(upstream: routing.Upstream, perSecond: number | undefined, sentAt: decision.Milliseconds): void {
         const incarnation = routing.incarnationOf(upstream);
         if (this.limits.observe(incarnation, perSecond, sentAt, this.clock())) {
-            this.messages?.broadcastLimit(incarnation, perSecond);
+            this.channel?.broadcastLimit(incarnation, perSecond);
             this.log.decision("upstream limit changed", { incarnation, limitPerSecond: perSecond, source: "answer" });
         }
     }
@@ -65,7 +68,7 @@
     async acquire(upstream: routing.Upstream): Promise<Permit> {
         const incarnation = routing.incarnationOf(upstream);
         const ratePerSecond = this.limits.limitOf(incarnation, this.clock());
-        if (ratePerSecond === undefined || !this.messages) {
+        if (ratePerSecond === undefined || !this.channel) {
             return UNLIMITED;
         }
         const spentForMs = this.limits.spentForMs(incarnation, this.clock());
@@ -73,7 +76,7 @@
             return { granted: false, waitMs: spentForMs };
         }
         const limit = { ratePerSecond, burst: 0, version: 0 };
-        const { quotaDecision, refund } = await this.messages.charge(messages.Ledger.Upstreams, incarnation, limit, 1);
+        const { quotaDecision, refund } = await this.channel.charge(messages.Ledger.Upstreams, incarnation, limit, 1);
         if (quotaDecision.granted) {
             return { granted: true, refund };
         }
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -139,11 +139,10 @@
             if (this.clock() - decidedAt >= SAVE_PERIOD_MS) {
                 this.ownDecisions.delete(fingerprint);
             }
-            if (stored.includes(fingerprint) || !this.ownDecisions.has(fingerprint)) {
-                continue;
+            else if (this.ownDecisions.has(fingerprint) && !stored.includes(fingerprint)) {
+                const saved = await store.saveBarred(fingerprint);
+                this.log.notice("barred fingerprint saved", { fingerprint, ...describeOutcome(saved) });
             }
-            const saved = await store.saveBarred(fingerprint);
-            this.log.notice("barred fingerprint saved", { fingerprint, ...describeOutcome(saved) });
         }
         for (const fingerprint of [...this.withdrawn]) {
             const removed = await store.removeBarred(fingerprint);
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -132,7 +132,7 @@
         era = Math.max(era, latest);
     };
     const refreshHosts = async () => {
-        // A host that starts has to know what is barred before it knows that it is registered.
+        // Listed first, so that a host that starts knows what is barred as soon as it can.
         const listed = await registry.listFleet();
         const registered = await registry.registerHost(options.host, options.address);
         if (listed.effect === decision.Effect.Known) {
