--- a/review/lib/clients.mjs
+++ b/review/lib/clients.mjs
@@ -8,6 +8,8 @@
     answers = new Map();
     open = new Set();
     count = 0;
+    /** Connections that have carried a request. */
+    usedSockets = new WeakSet();
 
     constructor(record) {
         this.record = record;
@@ -78,6 +80,7 @@
             });
             let gaveUp = false;
             let answered = false;
+            let kept = false;
             const finish = (status, seal, text) => {
                 if (this.answers.has(requestId)) {
                     return;
@@ -93,7 +96,7 @@
                     tookMs,
                     sentAt,
                     gaveUp,
-                    kept: request.reusedSocket,
+                    kept,
                     path,
                 };
                 this.answers.set(requestId, answer);
@@ -110,8 +113,10 @@
                 resolve(answer);
             };
             let timer;
-            request.on("socket", () => {
+            request.on("socket", (socket) => {
                 sentAt = performance.now();
+                kept = this.usedSockets.has(socket);
+                this.usedSockets.add(socket);
                 timer = setTimeout(() => {
                     gaveUp = true;
                     request.destroy();
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -3,6 +3,11 @@
 import { randomBytes } from "node:crypto";
 import { listen, makeRawServer, pause } from "./fleet.mjs";
 
+/** The results of prefills that engines keep, as IP:PORT/HANDLE. */
+const keptHandles = new Set();
+/** `kv_hold_s`. */
+const HANDLE_TTL_MS = 500;
+
 /** A name as in the pages' examples. */
 const makeHandle = () => randomBytes(6).toString("hex");
 
@@ -12,6 +17,8 @@
     holds = new Map();
     /** Share of the answers of runs of which a second copy is sent late. */
     extraShare = 0;
+    /** Share of all other answers, such as those to reservations and prefills, of which a second copy is sent late. */
+    controlExtraShare = 0;
     extrasSent = 0;
     lateCopies = new WeakMap();
 
@@ -27,7 +34,7 @@
     eventMs = 48;
 
     async listen() {
-        this.server = makeRawServer((request, socket) => void this.serve(request, socket));
+        this.server = makeRawServer((request, socket) => this.serve(request, socket));
         this.server.on("connection", (socket) => {
             this.sockets.add(socket);
             socket.on("close", () => this.sockets.delete(socket));
@@ -79,10 +86,12 @@
         const requestId = headers["x-citronlead-request-id"];
         const echo = requestId === undefined ? "" : `X-Citronlead-Request-Id: ${requestId}\r\n`;
         const answer = (status, extraHeaders = "", body = "") => {
+            const text = `HTTP/1.1 ${status} -\r\n${echo}${extraHeaders}Content-Length: ${body.length}\r\n\r\n${body}`;
             if (!socket.destroyed) {
-                socket.write(
-                    `HTTP/1.1 ${status} -\r\n${echo}${extraHeaders}Content-Length: ${body.length}\r\n\r\n${body}`,
-                );
+                socket.write(text);
+                if (Math.random() < this.controlExtraShare) {
+                    this.lateCopies.set(socket, { requestId: `${status} to ${method} ${path}`, text });
+                }
             }
         };
         const copy = this.lateCopies.get(socket);
@@ -107,7 +116,7 @@
             await pause(this.controlMs);
             const { tokens, ttl_ms: ttlMs } = JSON.parse(request.body.toString());
             if (this.used + tokens > this.kvTokens) {
-                answer(503);
+                answer(503, "X-Citronlead-Not-Executed: 1\r\n");
                 return;
             }
             const hold = makeHandle();
@@ -115,15 +124,7 @@
             this.holds.set(hold, tokens);
             setTimeout(() => this.dropHold(hold), ttlMs);
             const body = Buffer.from(JSON.stringify({ hold }));
-            this.spoilHold?.(body);
-            if (!socket.destroyed) {
-                socket.write(
-                    Buffer.concat([
-                        Buffer.from(`HTTP/1.1 200 -\r\n${json}Content-Length: ${body.length}\r\n\r\n`),
-                        body,
-                    ]),
-                );
-            }
+            answer(200, json, this.spoilHold?.(body.toString()) ?? body.toString());
             return;
         }
         if (path.startsWith("/-/")) {
@@ -135,13 +136,25 @@
         if (headers["x-citronlead-stage"] === "prefill") {
             this.onPrefill?.(requestId);
             await pause(Number(headers["x-citronlead-token-counts"].split(",")[0]) / 55);
-            answer(200, json, JSON.stringify({ kv_handle: makeHandle(), tokens: 1, version: 1 }));
+            const handle = makeHandle();
+            const source = `${this.address}/${handle}`;
+            keptHandles.add(source);
+            setTimeout(() => keptHandles.delete(source), HANDLE_TTL_MS);
+            const body = JSON.stringify({ kv_handle: handle, tokens: 1, version: 1 });
+            answer(200, json, this.spoilPrefill?.(requestId, body) ?? body);
+            return;
+        }
+        const source = headers["x-citronlead-kv-source"];
+        if (source !== undefined && !keptHandles.delete(source)) {
+            this.record.write(`${this.id} can't fetch ${source} for ${requestId}`);
+            answer(503, "X-Citronlead-Not-Executed: 1\r\n");
             return;
         }
-        if (this.spoil?.(requestId, socket, `${echo}X-Citronlead-Server-Seal: ${this.id}.${requestId}\r\n`)) {
+        const signature = `X-Citronlead-Server-Seal: ${this.id}.${requestId}\r\nX-Citronlead-Weight-Versions: 1\r\n`;
+        if (this.spoil?.(requestId, socket, echo + signature)) {
             return;
         }
-        await this.stream(request, socket, requestId, echo);
+        await this.stream(request, socket, requestId, echo + signature);
     }
 
     dropHold(hold) {
@@ -149,7 +162,7 @@
         this.holds.delete(hold);
     }
 
-    async stream({ headers }, socket, requestId, echo) {
+    async stream({ headers }, socket, requestId, signedHeaders) {
         const [prompt, output] = headers["x-citronlead-token-counts"].split(",").map(Number);
         const hold = headers["x-citronlead-kv-hold"];
         if (hold !== undefined) {
@@ -157,7 +170,7 @@
         }
         const tokens = prompt + output;
         this.used += tokens;
-        let text = `HTTP/1.1 200 OK\r\n${echo}X-Citronlead-Server-Seal: ${this.id}.${requestId}\r\n`
+        let text = `HTTP/1.1 200 OK\r\n${signedHeaders}`
             + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         const count = Math.max(2, Math.round(output / 11));
         let written = 0;
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -257,12 +257,16 @@
 /** Whether the case is to disturb the system. */
 export const WITH_TROUBLE = process.env.TROUBLE !== "0";
 
-/** An HTTP server over raw sockets, so that it can answer wrongly. Calls `onRequest` for each complete request. */
+/**
+ * An HTTP server over raw sockets, so that it can answer wrongly. Calls `onRequest` for each complete request, for one at a
+ * time on a connection: the next one waits until the promise that it returns is settled.
+ */
 export function makeRawServer(onRequest) {
     return net.createServer((socket) => {
         socket.setNoDelay(true);
         socket.on("error", () => undefined);
         let buffered = Buffer.alloc(0);
+        let served = Promise.resolve();
         socket.on("data", (bytes) => {
             buffered = Buffer.concat([buffered, bytes]);
             for (;;) {
@@ -290,7 +294,9 @@
                 const body = buffered.subarray(end + 4, bodyEnd);
                 buffered = buffered.subarray(bodyEnd);
                 const [method, target] = first.split(" ");
-                onRequest({ method, path: target, headers, body }, socket);
+                served = served.then(() =>
+                    socket.destroyed ? undefined : onRequest({ method, path: target, headers, body }, socket)
+                );
             }
         });
     });
--- a/review/lib/plain.mjs
+++ b/review/lib/plain.mjs
@@ -21,7 +21,7 @@
     }
 
     async listen() {
-        this.server = makeRawServer((request, socket) => void this.serve(request, socket));
+        this.server = makeRawServer((request, socket) => this.serve(request, socket));
         this.port = await listen(this.server);
         this.address = `127.0.0.1:${this.port}`;
     }
