--- a/review/lib/plain.mjs
+++ b/review/lib/plain.mjs
@@ -4,6 +4,12 @@
 export class PlainServer {
     /** Called instead of the sound answer if it returns true. */
     spoil = () => false;
+    /** Share of the answers of which a second copy is sent late: where the next answer on that connection is expected. */
+    extraShare = 0;
+    /** Share of the answers to requests that have no length and end with their connection. */
+    unframedShare = 0;
+    extrasSent = 0;
+    lateCopies = new WeakMap();
 
     constructor({ id, service, zone, slots = 6, workMs = () => 30, onRun }) {
         Object.assign(this, {
@@ -47,6 +53,23 @@
     async serve({ headers, method, path }, socket) {
         const requestId = headers["x-citronlead-request-id"];
         const echo = requestId === undefined ? "" : `X-Citronlead-Request-Id: ${requestId}\r\n`;
+        const copy = this.lateCopies.get(socket);
+        if (copy !== undefined) {
+            this.lateCopies.delete(socket);
+            this.extrasSent++;
+            this.onCopy?.(
+                `${this.id} sends the late copy of ${copy.of} before its answer to ${method} ${path} ${
+                    requestId ?? ""
+                }`,
+            );
+            socket.write(copy.text);
+        }
+        const write = (text) => {
+            socket.write(text);
+            if (Math.random() < this.extraShare) {
+                this.lateCopies.set(socket, { of: `${text.slice(9, 12)} to ${method} ${path}`, text });
+            }
+        };
         if (
             headers["x-citronlead-expect-instance"] !== undefined && headers["x-citronlead-expect-instance"] !== this.id
         ) {
@@ -55,7 +78,7 @@
         }
         if (this.open >= this.slots) {
             if (this.waiting.length >= 24) {
-                socket.write(`HTTP/1.1 503 -\r\n${echo}X-Citronlead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
+                write(`HTTP/1.1 503 -\r\n${echo}X-Citronlead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
                 return;
             }
             await new Promise((resolve) => this.waiting.push(resolve));
@@ -72,9 +95,12 @@
             return;
         }
         const body = `${requestId} ${method} ${path} ${"y".repeat(700)}`;
-        socket.write(
-            `HTTP/1.1 200 OK\r\n${echo}${seal}X-Citronlead-Instance-Id: ${this.id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
-        );
+        const head = `HTTP/1.1 200 OK\r\n${echo}${seal}X-Citronlead-Instance-Id: ${this.id}\r\n`;
+        if (requestId !== undefined && Math.random() < this.unframedShare) {
+            socket.end(`${head}Connection: close\r\n\r\n${body}`);
+            return;
+        }
+        write(`${head}Content-Length: ${body.length}\r\n\r\n${body}`);
     }
 }
 
