--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -19,7 +19,10 @@
 const CLIENTS_PER_HOST = 12;
 
 await fleet.runCase(path.dirname(fileURLToPath(import.meta.url)), async (record, temporary) => {
-    const { hosts, runs, store } = await deployments.startDeployment(record, temporary, { hostCount: 2, decodeEngines: 4 });
+    const { hosts, runs, store } = await deployments.startDeployment(record, temporary, {
+        hostCount: 2,
+        decodeEngines: 4,
+    });
     const startedAt = performance.now();
     const isOver = () => performance.now() - startedAt > LENGTH_S * 1_000;
     const stops = [];
@@ -35,7 +38,9 @@
                 await fleet.pause(10);
             }
             stop.to = performance.now();
-            record.write(`${host.name} ended after ${Math.round(stop.to - stop.from)} ms: ${JSON.stringify(host.exit?.code)}`);
+            record.write(
+                `${host.name} ended after ${Math.round(stop.to - stop.from)} ms: ${JSON.stringify(host.exit?.code)}`,
+            );
             host.signal("SIGKILL");
             await fleet.pause(RESTART_MS);
             host.start();
@@ -60,7 +65,9 @@
     await Promise.all([stopInTurn(), ...users]);
     await clients.waitForAnswers(3_000);
     const lost = [...clients.answers.values()].filter(({ requestId, host, status, gaveUp, sentAt, tookMs }) => {
-        const stop = stops.find(({ host: name, from, to }) => name === host.name && from <= sentAt + tookMs && sentAt <= to);
+        const stop = stops.find(({ host: name, from, to }) =>
+            name === host.name && from <= sentAt + tookMs && sentAt <= to
+        );
         const isCutLate = stop && sentAt + tookMs - stop.from > CUT_FROM_MS;
         return status === 0 && !gaveUp && runs.has(requestId) && stop && !isCutLate;
     });
@@ -68,10 +75,14 @@
         const stop = stops.findLast(({ host: name, from }) => name === host.name && from <= sentAt + tookMs);
         record.write(
             `LOST: ${requestId} ${target} was sent ${Math.round(sentAt - stop.from)} ms after the SIGTERM, ran at `
-                + `${runs.get(requestId).join()}, and its connection was closed without an answer ${Math.round(tookMs)} ms later`,
+                + `${runs.get(requestId).join()}, and its connection was closed without an answer ${
+                    Math.round(tookMs)
+                } ms later`,
         );
     }
-    const summary = `${clients.count} requests, answers ${JSON.stringify(clients.statuses)}, ${stops.length} stops; LOST: ${lost.length}`;
+    const summary = `${clients.count} requests, answers ${
+        JSON.stringify(clients.statuses)
+    }, ${stops.length} stops; LOST: ${lost.length}`;
     record.write(summary);
     console.log(summary);
     store.close();
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -24,7 +24,8 @@
     const startedAt = performance.now();
     const seconds = () => (performance.now() - startedAt) / 1_000;
     await clients.sendAtRate(STREAMS_PER_S, () => seconds() > LENGTH_S, () => {
-        const garbles = fleet.WITH_TROUBLE && seconds() > FIRST_AT_S && (seconds() - FIRST_AT_S) % PERIOD_S < EXTRA_FOR_S;
+        const garbles = fleet.WITH_TROUBLE && seconds() > FIRST_AT_S
+            && (seconds() - FIRST_AT_S) % PERIOD_S < EXTRA_FOR_S;
         decoders.forEach((engine) => engine.extraShare = garbles ? EXTRA_SHARE : 0);
         void clients.sendStream(host);
     });
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -23,13 +23,19 @@
     const configuration = deployments.makeConfiguration();
     Object.assign(configuration.routes[0], { resumable: true, attempts: 2 });
     const { decoders, hosts, register, store } = await deployments.startDeployment(record, temporary, {
-        hostCount: HOSTS, prefillEngines: 4, decodeEngines: 8, configuration,
+        hostCount: HOSTS,
+        prefillEngines: 4,
+        decodeEngines: 8,
+        configuration,
     });
     decoders.forEach((engine) => engine.eventMs = 120);
     const clients = new Clients(record);
     let over = false;
-    const load = clients.sendAtRate(STREAMS_PER_S, () => over, () =>
-        void clients.sendStream(hosts[Math.floor(Math.random() * hosts.length)], { outputTokens: 110 }));
+    const load = clients.sendAtRate(
+        STREAMS_PER_S,
+        () => over,
+        () => void clients.sendStream(hosts[Math.floor(Math.random() * hosts.length)], { outputTokens: 110 }),
+    );
     await fleet.pause(5_000);
     // One engine after the other crashes, starts again with version v2, and crashes once more. Two stay at v1.
     for (const engine of decoders.slice(0, ENGINES)) {
@@ -54,10 +60,16 @@
         const versions = new Set([...(text ?? "").matchAll(/^data: \S+ \d+ (\S+)$/gm)].map((match) => match[1]));
         if (versions.size > 1) {
             mixed++;
-            record.write(`ORDER: ${requestId} was answered ${status} with events of ${[...versions].join(" and ")}: ${text.match(/\d+ v\d/g).join(", ")}`);
+            record.write(
+                `ORDER: ${requestId} was answered ${status} with events of ${[...versions].join(" and ")}: ${
+                    text.match(/\d+ v\d/g).join(", ")
+                }`,
+            );
         }
     }
-    const summary = `${clients.count} requests, answers ${JSON.stringify(clients.statuses)}; ORDER: ${mixed} streams of two versions, ${ALLOWED} allowed`;
+    const summary = `${clients.count} requests, answers ${
+        JSON.stringify(clients.statuses)
+    }; ORDER: ${mixed} streams of two versions, ${ALLOWED} allowed`;
     record.write(summary);
     console.log(summary);
     store.close();
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -24,7 +24,11 @@
 const LATE_MS = 3_000;
 
 await fleet.runCase(path.dirname(fileURLToPath(import.meta.url)), async (record, temporary) => {
-    const deployment = await deployments.startDeployment(record, temporary, { hostCount: 3, prefillEngines: 4, decodeEngines: 8 });
+    const deployment = await deployments.startDeployment(record, temporary, {
+        hostCount: 3,
+        prefillEngines: 4,
+        decodeEngines: 8,
+    });
     const { hosts, runs, store } = deployment;
     // One tenant in three has this host as the owner of its quota; names are as operators choose them.
     const [owner] = hosts;
@@ -32,11 +36,20 @@
     const isOwned = (name) => hosts.every((host) => host === owner || score(host, name) < score(owner, name));
     const tenant = Array.from({ length: 200 }, (_, index) => `tenant${index}`).find(isOwned);
     const { tenants } = deployments.makeConfiguration();
-    store.put("op/config", deployments.makeConfiguration(9, {
-        tenants: [...tenants, {
-            name: tenant, api_keys: ["key-of-tenant"], priority: 1, unit: "tokens", plain_tokens: 200, rate_per_s: RATE_PER_S, burst: BURST,
-        }],
-    }));
+    store.put(
+        "op/config",
+        deployments.makeConfiguration(9, {
+            tenants: [...tenants, {
+                name: tenant,
+                api_keys: ["key-of-tenant"],
+                priority: 1,
+                unit: "tokens",
+                plain_tokens: 200,
+                rate_per_s: RATE_PER_S,
+                burst: BURST,
+            }],
+        }),
+    );
     await fleet.pause(3_000);
 
     const clients = new Clients(record);
@@ -66,7 +79,11 @@
         store.loseTransaction = (host, puts) => {
             const isLost = host === owner.name && puts.some(({ key }) => key.includes(owner.ip)) && ++writes === 1;
             if (isLost) {
-                record.write(`the store does not answer ${puts.map(({ key, lease }) => `${key} with lease ${lease}`).join()}, and does it ${LATE_MS} ms later`);
+                record.write(
+                    `the store does not answer ${
+                        puts.map(({ key, lease }) => `${key} with lease ${lease}`).join()
+                    }, and does it ${LATE_MS} ms later`,
+                );
             }
             return isLost ? LATE_MS : undefined;
         };
@@ -81,7 +98,10 @@
     await owner.waitUntilReady();
     owner.leaving = false;
     record.write(`${owner.name} is back`);
-    const registrations = () => [...store.items.values()].filter(({ key }) => key.startsWith("citronlead/hosts/")).map(({ key, lease }) => `${key} with lease ${lease}`).join("; ");
+    const registrations = () =>
+        [...store.items.values()].filter(({ key }) => key.startsWith("citronlead/hosts/")).map(({ key, lease }) =>
+            `${key} with lease ${lease}`
+        ).join("; ");
     for (let count = 0; count < 7; count++) {
         await fleet.pause(3_000);
         record.write(`registered hosts: ${registrations()}`);
@@ -111,7 +131,10 @@
         }
         tokens -= TOKENS;
     }
-    const summary = `${clients.count} requests, answers ${JSON.stringify(clients.statuses)}; QUOTA: ${most} tokens were sent and run in ${WINDOW_S} s `
+    const summary =
+        `${clients.count} requests, answers ${
+            JSON.stringify(clients.statuses)
+        }; QUOTA: ${most} tokens were sent and run in ${WINDOW_S} s `
         + `from ${mostAt.toFixed(1)} s; allowed ${Math.round(ALLOWED)}`;
     record.write(summary);
     console.log(summary);
--- a/review/lib/clients.mjs
+++ b/review/lib/clients.mjs
@@ -17,21 +17,46 @@
 
     /** Sends a prompt of a stream that must not run twice. */
     sendStream(host, options = {}) {
-        const { promptTokens = 2_000 + Math.floor(Math.random() * 6_000), outputTokens = 20 + Math.floor(Math.random() * 100) } = options;
+        const {
+            promptTokens = 2_000 + Math.floor(Math.random() * 6_000),
+            outputTokens = 20 + Math.floor(Math.random() * 100),
+        } = options;
         const { key = API_KEY, agent = this.agent, leaveAfterMs = STREAM_TIMEOUT_MS } = options;
         const requestId = `${this.prefix}-${++this.count}`;
-        return this.send(host, requestId, "POST", `/quote/${this.count}`, STREAM_TIMEOUT_MS, "q".repeat(5_000), agent, leaveAfterMs, {
-            "X-Api-Key": key,
-            "X-Citronlead-Model": "m",
-            "X-Citronlead-Token-Counts": `${promptTokens},${outputTokens}`,
-            "X-Citronlead-Prompt-Prefix": `${(this.count % 2_000).toString(16)}:200,${requestId.replace("-", "")}:${promptTokens - 200}`,
-        });
+        return this.send(
+            host,
+            requestId,
+            "POST",
+            `/quote/${this.count}`,
+            STREAM_TIMEOUT_MS,
+            "q".repeat(5_000),
+            agent,
+            leaveAfterMs,
+            {
+                "X-Api-Key": key,
+                "X-Citronlead-Model": "m",
+                "X-Citronlead-Token-Counts": `${promptTokens},${outputTokens}`,
+                "X-Citronlead-Prompt-Prefix": `${(this.count % 2_000).toString(16)}:200,${requestId.replace("-", "")}:${
+                    promptTokens - 200
+                }`,
+            },
+        );
     }
 
     /** Sends a booking, which must not run twice. */
     sendBooking(host, { agent = this.agent } = {}) {
         const requestId = `${this.prefix}-${++this.count}`;
-        return this.send(host, requestId, "POST", `/confirm/${this.count}`, PLAIN_DEADLINE_MS, "b".repeat(600), agent, PLAIN_DEADLINE_MS, { "X-Api-Key": API_KEY });
+        return this.send(
+            host,
+            requestId,
+            "POST",
+            `/confirm/${this.count}`,
+            PLAIN_DEADLINE_MS,
+            "b".repeat(600),
+            agent,
+            PLAIN_DEADLINE_MS,
+            { "X-Api-Key": API_KEY },
+        );
     }
 
     send(host, requestId, method, path, deadlineMs, body, agent, leaveAfterMs, headers) {
@@ -59,10 +84,29 @@
                 }
                 clearTimeout(timer);
                 const tookMs = performance.now() - sentAt;
-                const answer = { requestId, host, status, seal, text, tookMs, sentAt, gaveUp, kept: request.reusedSocket, path };
+                const answer = {
+                    requestId,
+                    host,
+                    status,
+                    seal,
+                    text,
+                    tookMs,
+                    sentAt,
+                    gaveUp,
+                    kept: request.reusedSocket,
+                    path,
+                };
                 this.answers.set(requestId, answer);
-                const shown = gaveUp ? "none, the client has left" : status === 0 ? "connection closed without a complete answer" : status;
-                this.record.write(`answer to ${requestId} ${path}: ${shown}${seal ? ` of ${seal}` : ""} after ${Math.round(tookMs)} ms`);
+                const shown = gaveUp
+                    ? "none, the client has left"
+                    : status === 0
+                    ? "connection closed without a complete answer"
+                    : status;
+                this.record.write(
+                    `answer to ${requestId} ${path}: ${shown}${seal ? ` of ${seal}` : ""} after ${
+                        Math.round(tookMs)
+                    } ms`,
+                );
                 resolve(answer);
             };
             let timer;
@@ -78,8 +122,15 @@
                 let text = "";
                 response.on("data", (bytes) => text += bytes);
                 response.on("error", () => undefined);
-                response.on("close", () =>
-                    finish(response.complete ? response.statusCode : 0, response.headers["x-citronlead-server-seal"], text));
+                response.on(
+                    "close",
+                    () =>
+                        finish(
+                            response.complete ? response.statusCode : 0,
+                            response.headers["x-citronlead-server-seal"],
+                            text,
+                        ),
+                );
             });
             request.on("error", () => answered || finish(0));
             request.end(body);
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -17,8 +17,19 @@
 const HEARTBEAT_MS = 1_200;
 
 const route = (name, kind, service, timeoutMs, aimMs, priority, sticky) => ({
-    name: `r-${name}`, host: HOST_NAME, prefix: `/${name}/`, kind, timeout_ms: timeoutMs, slo_ms: aimMs, priority, service,
-    attempts: kind === "idempotent" ? 2 : 1, public: false, sticky, resumable: false, ...(sticky ? { gap_target_ms: 300 } : {}),
+    name: `r-${name}`,
+    host: HOST_NAME,
+    prefix: `/${name}/`,
+    kind,
+    timeout_ms: timeoutMs,
+    slo_ms: aimMs,
+    priority,
+    service,
+    attempts: kind === "idempotent" ? 2 : 1,
+    public: false,
+    sticky,
+    resumable: false,
+    ...(sticky ? { gap_target_ms: 300 } : {}),
 });
 
 /** The configuration, as `fleetbench wire` shows one. */
@@ -32,23 +43,57 @@
         ],
         services: [
             {
-                name: MODEL_SERVICE, health_path: "/health", max_conns: 630, protocol: "h1", tls: false,
+                name: MODEL_SERVICE,
+                health_path: "/health",
+                max_conns: 630,
+                protocol: "h1",
+                tls: false,
                 engine: {
-                    slots: 128, kv_capacity: 53_213, kv_token_bytes: 18_432, link_mbps: 350_000, moves: true, backups: true,
-                    stride: 11, most: 12, kv_hold_s: 0.5, switch_s: 6, pin_ms: 4_000, hold_ms: 2_000, models: [{ name: "m" }],
+                    slots: 128,
+                    kv_capacity: 53_213,
+                    kv_token_bytes: 18_432,
+                    link_mbps: 350_000,
+                    moves: true,
+                    backups: true,
+                    stride: 11,
+                    most: 12,
+                    kv_hold_s: 0.5,
+                    switch_s: 6,
+                    pin_ms: 4_000,
+                    hold_ms: 2_000,
+                    models: [{ name: "m" }],
                 },
             },
             { name: PLAIN_SERVICE, health_path: "/health", max_conns: 110, protocol: "h1", tls: false },
         ],
-        limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
-        tenants: [{ name: "north", api_keys: [API_KEY], priority: 1, unit: "tokens", plain_tokens: 200, rate_per_s: 0, burst: 0 }],
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 4_194_304,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+        tenants: [{
+            name: "north",
+            api_keys: [API_KEY],
+            priority: 1,
+            unit: "tokens",
+            plain_tokens: 200,
+            rate_per_s: 0,
+            burst: 0,
+        }],
         ...changes,
     };
 }
 
 /** Starts the store, the engines and servers, and the hosts, and waits until the hosts are ready. */
 export async function startDeployment(record, temporary, options = {}) {
-    const { hostCount = 1, prefillEngines = 2, decodeEngines = 3, plainServers = 3, configuration = makeConfiguration() } = options;
+    const {
+        hostCount = 1,
+        prefillEngines = 2,
+        decodeEngines = 3,
+        plainServers = 3,
+        configuration = makeConfiguration(),
+    } = options;
     const store = new Store();
     /** The upstreams that ran each request, by its id. */
     const runs = new Map();
@@ -56,14 +101,31 @@
         runs.set(requestId, [...runs.get(requestId) ?? [], upstream]);
         record.write(`${upstream} runs ${requestId}`);
     };
-    const engineOptions = { service: MODEL_SERVICE, zone: "rennes", kvTokens: 53_213, controlMs: options.controlMs ?? 4, onRun, record };
+    const engineOptions = {
+        service: MODEL_SERVICE,
+        zone: "rennes",
+        kvTokens: 53_213,
+        controlMs: options.controlMs ?? 4,
+        onRun,
+        record,
+    };
     const engines = [
-        ...Array.from({ length: prefillEngines }, (_, index) => new Engine({ ...engineOptions, id: `i-prefill${index}`, stage: "prefill" })),
-        ...Array.from({ length: decodeEngines }, (_, index) => new Engine({ ...engineOptions, id: `i-decode${index}`, stage: "decode" })),
+        ...Array.from(
+            { length: prefillEngines },
+            (_, index) => new Engine({ ...engineOptions, id: `i-prefill${index}`, stage: "prefill" }),
+        ),
+        ...Array.from(
+            { length: decodeEngines },
+            (_, index) => new Engine({ ...engineOptions, id: `i-decode${index}`, stage: "decode" }),
+        ),
     ];
     const servers = Array.from({ length: plainServers }, (_, index) =>
         new PlainServer({
-            id: `i-plain${index}`, service: PLAIN_SERVICE, zone: "rennes", workMs: () => 20 + Math.random() * 40, onRun,
+            id: `i-plain${index}`,
+            service: PLAIN_SERVICE,
+            zone: "rennes",
+            workMs: () => 20 + Math.random() * 40,
+            onRun,
         }));
     const upstreams = [...engines, ...servers];
     await Promise.all(upstreams.map((upstream) => upstream.listen()));
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -80,17 +80,25 @@
         const echo = requestId === undefined ? "" : `X-Citronlead-Request-Id: ${requestId}\r\n`;
         const answer = (status, extraHeaders = "", body = "") => {
             if (!socket.destroyed) {
-                socket.write(`HTTP/1.1 ${status} -\r\n${echo}${extraHeaders}Content-Length: ${body.length}\r\n\r\n${body}`);
+                socket.write(
+                    `HTTP/1.1 ${status} -\r\n${echo}${extraHeaders}Content-Length: ${body.length}\r\n\r\n${body}`,
+                );
             }
         };
         const copy = this.lateCopies.get(socket);
         if (copy !== undefined) {
             this.lateCopies.delete(socket);
             this.extrasSent++;
-            this.record.write(`${this.id} sends the late copy of ${copy.requestId} before its answer to ${method} ${path} ${requestId ?? ""}`);
+            this.record.write(
+                `${this.id} sends the late copy of ${copy.requestId} before its answer to ${method} ${path} ${
+                    requestId ?? ""
+                }`,
+            );
             socket.write(copy.text);
         }
-        if (headers["x-citronlead-expect-instance"] !== undefined && headers["x-citronlead-expect-instance"] !== this.id) {
+        if (
+            headers["x-citronlead-expect-instance"] !== undefined && headers["x-citronlead-expect-instance"] !== this.id
+        ) {
             answer(421, `X-Citronlead-Instance-Id: ${this.id}\r\n`);
             return;
         }
@@ -109,7 +117,12 @@
             const body = Buffer.from(JSON.stringify({ hold }));
             this.spoilHold?.(body);
             if (!socket.destroyed) {
-                socket.write(Buffer.concat([Buffer.from(`HTTP/1.1 200 -\r\n${json}Content-Length: ${body.length}\r\n\r\n`), body]));
+                socket.write(
+                    Buffer.concat([
+                        Buffer.from(`HTTP/1.1 200 -\r\n${json}Content-Length: ${body.length}\r\n\r\n`),
+                        body,
+                    ]),
+                );
             }
             return;
         }
--- a/review/lib/plain.mjs
+++ b/review/lib/plain.mjs
@@ -6,7 +6,18 @@
     spoil = () => false;
 
     constructor({ id, service, zone, slots = 6, workMs = () => 30, onRun }) {
-        Object.assign(this, { id, service, zone, slots, workMs, onRun, born: Date.now(), seqNo: 0, open: 0, waiting: [] });
+        Object.assign(this, {
+            id,
+            service,
+            zone,
+            slots,
+            workMs,
+            onRun,
+            born: Date.now(),
+            seqNo: 0,
+            open: 0,
+            waiting: [],
+        });
     }
 
     async listen() {
@@ -21,15 +32,24 @@
 
     get registration() {
         return {
-            service: this.service, address: this.address, zone: this.zone, version: "v1", slots: this.slots,
-            state: "ready", cold_left_ms: 0, seq_no: ++this.seqNo, born: this.born,
+            service: this.service,
+            address: this.address,
+            zone: this.zone,
+            version: "v1",
+            slots: this.slots,
+            state: "ready",
+            cold_left_ms: 0,
+            seq_no: ++this.seqNo,
+            born: this.born,
         };
     }
 
     async serve({ headers, method, path }, socket) {
         const requestId = headers["x-citronlead-request-id"];
         const echo = requestId === undefined ? "" : `X-Citronlead-Request-Id: ${requestId}\r\n`;
-        if (headers["x-citronlead-expect-instance"] !== undefined && headers["x-citronlead-expect-instance"] !== this.id) {
+        if (
+            headers["x-citronlead-expect-instance"] !== undefined && headers["x-citronlead-expect-instance"] !== this.id
+        ) {
             socket.write(`HTTP/1.1 421 -\r\n${echo}X-Citronlead-Instance-Id: ${this.id}\r\nContent-Length: 0\r\n\r\n`);
             return;
         }
@@ -52,7 +72,9 @@
             return;
         }
         const body = `${requestId} ${method} ${path} ${"y".repeat(700)}`;
-        socket.write(`HTTP/1.1 200 OK\r\n${echo}${seal}X-Citronlead-Instance-Id: ${this.id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+        socket.write(
+            `HTTP/1.1 200 OK\r\n${echo}${seal}X-Citronlead-Instance-Id: ${this.id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+        );
     }
 }
 
