Gateway: a malformed head costs its request alone

Cause: Node's client accepts names of headers with a space, without a character, and statuses below 100, which its server refuses to write; the head of a stream is written in a data listener, where nothing catches the exception. Ruled out: the parser (insecureHTTPParser is off and both forms pass it).

Heads are checked where they are decoded, of engines, plain services, other hosts and callers. For the class of the fault: listeners are guarded, background calls caught, pollers go on after a read that throws, and the process logs what is still not caught.

--- a/packages/gateway/src/endpoints.ts
+++ b/packages/gateway/src/endpoints.ts
@@ -1,6 +1,7 @@
 import type * as lifecycle from "@citronlead/lifecycle";
 import * as http from "node:http";
 import type * as promClient from "prom-client";
+import type * as logs from "./log.js";
 import type * as settings from "./settings.js";
 
 /** Serves the load balancer's readiness probe: 200 if the host accepts connections, otherwise 503. */
@@ -22,6 +23,7 @@
     listen: settings.ListenAddress,
     path: string,
     registry: promClient.Registry,
+    log: logs.DecisionLog,
 ): Promise<void> {
     return openServer(scope, listen, (request, response) => {
         if (request.url !== path) {
@@ -29,10 +31,16 @@
             response.end();
             return;
         }
-        void registry.metrics().then((text) => {
-            response.setHeader("Content-Type", registry.contentType);
-            response.end(text);
-        });
+        registry.metrics().then(
+            (text) => {
+                response.setHeader("Content-Type", registry.contentType);
+                response.end(text);
+            },
+            (error: unknown) => {
+                log.failure("write metrics", error);
+                response.destroy();
+            },
+        );
     });
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -54,6 +54,10 @@
     readonly reload: (settings: settings.GatewaySettings) => void;
     /** Logs that changed settings are invalid; the current ones stay in effect. */
     readonly rejectReload: (reason: string) => void;
+    /** Logs an error that nothing in the process has caught. */
+    readonly recordFailure: (task: string, error: unknown) => void;
+    /** Writes the buffered log lines. */
+    readonly flushLog: () => void;
 }
 
 /** Options of a gateway. */
@@ -166,7 +170,7 @@
         wireFormat.readinessPath,
         () => !stopping && storeView.activeConfiguration() !== undefined && pool.hasAcceptingUpstreams,
     );
-    await endpoints.openMetricsServer(scope, settings.metrics, settings.metrics.path, gatewayMetrics.registry);
+    await endpoints.openMetricsServer(scope, settings.metrics, settings.metrics.path, gatewayMetrics.registry, log);
     log.notice("started", { callers: settings.callers, metrics: settings.metrics });
     const stop = async () => {
         stopping = true;
@@ -198,6 +202,8 @@
             log.notice("settings reloaded", { changed, atNextStart });
         },
         rejectReload: (reason) => log.notice("settings not reloaded", { reason }),
+        recordFailure: log.failure,
+        flushLog: log.flush,
     };
 }
 
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -18,6 +18,8 @@
     readonly decision: (event: string, fields: Record<string, unknown>) => void;
     /** Logs rare events: start, stop, reload, and dependencies that fail or recover. Not rate-limited. */
     readonly notice: (event: string, fields: Record<string, unknown>) => void;
+    /** Logs an error that was not expected where it was caught, with its stack. Rate-limited. */
+    readonly failure: (task: string, error: unknown) => void;
     /** Writes the buffered lines. */
     readonly flush: () => void;
 }
@@ -40,15 +42,18 @@
     destination.on("drop", onDropped);
     const logger = pino.pino({ base: identity, timestamp: pino.stdTimeFunctions.isoTime }, destination);
     const allow = makeLineLimiter(clock);
+    const logLimited = (event: string, fields: Record<string, unknown>) => {
+        if (allow()) {
+            logger.info(fields, event);
+        }
+        else {
+            onDropped();
+        }
+    };
     return {
-        decision: (event, fields) => {
-            if (allow()) {
-                logger.info(fields, event);
-            }
-            else {
-                onDropped();
-            }
-        },
+        decision: logLimited,
+        failure: (task, error) =>
+            logLimited("internal error", { task, error: error instanceof Error ? error.stack : String(error) }),
         notice: (event, fields) => logger.info(fields, event),
         flush: () => destination.flush(),
     };
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -1,5 +1,6 @@
 import type * as decision from "@citronlead/decision";
 import type * as http from "node:http";
+import * as background from "../background.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
 import * as quarantines from "../quarantine.js";
@@ -37,11 +38,15 @@
     confirmEnd: () => Promise<boolean>,
     onEvents: () => void,
 ): Promise<RelayEnd> {
-    const { response } = exchange;
+    const { context, response } = exchange;
     const splitter = new events.EventSplitter();
     const eventsBefore = exchange.relayedEvents;
     let started = false;
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
+        const fail = (error: unknown) => {
+            source.destroy();
+            reject(error);
+        };
         let timer = setTimeout(onSilence, silenceMs);
         function onSilence(): void {
             source.destroy();
@@ -59,7 +64,7 @@
         };
         const onAbort = () => source.destroy();
         exchange.signal.addEventListener("abort", onAbort);
-        source.on("data", (bytes: Buffer) => {
+        const onData = (bytes: Buffer) => {
             if (exchange.isOver) {
                 return;
             }
@@ -72,14 +77,15 @@
                 forward(completeEvents);
                 if (!started && exchange.relayedEvents - eventsBefore >= quarantines.EVENTS_PAST_START) {
                     started = true;
-                    exchange.context.quarantine.recordStarted(exchange);
+                    context.quarantine.recordStarted(exchange);
                 }
                 progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
             }
             else if (splitter.remainder.length > MAX_EVENT_BYTES) {
                 source.destroy();
             }
-        });
+        };
+        source.on("data", background.guardListener(fail, onData));
         const isWhole = async () => {
             if (calls.isFramed(source) || !calls.isComplete(source)) {
                 return calls.isComplete(source);
@@ -104,7 +110,7 @@
             exchange.endResponse(exchanges.FinalReason.Served);
             resolve(RelayEnd.Complete);
         };
-        source.on("close", () => void onClose());
+        source.on("close", () => void onClose().catch(fail));
         if (source.closed) {
             source.emit("close");
         }
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -1,6 +1,7 @@
 import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
+import * as background from "../background.js";
 import type * as exchanges from "../exchange.js";
 import * as sends from "../send.js";
 import * as ranking from "../upstream/ranking.js";
@@ -196,9 +197,11 @@
     resource: string,
     call: () => Promise<decision.Outcome<unknown>>,
 ): void {
-    void call().then((outcome) => {
+    const { log } = exchange.context;
+    background.runInBackground(log, "release engine memory", async () => {
+        const outcome = await call();
         if (outcome.effect !== decision.Effect.Known) {
-            exchange.context.log.decision("failed to release engine memory", {
+            log.decision("failed to release engine memory", {
                 requestId: exchange.metadata.requestId,
                 upstream: candidate.upstream.id,
                 what: resource,
--- a/packages/gateway/src/model/stages.ts
+++ b/packages/gateway/src/model/stages.ts
@@ -2,6 +2,7 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
+import * as background from "../background.js";
 import type * as contexts from "../context.js";
 import * as sends from "../send.js";
 
@@ -31,7 +32,11 @@
     private checking = false;
 
     constructor(private readonly context: contexts.GatewayContext) {
-        lifecycle.every(context.scope, CHECK_PERIOD_MS, () => void this.check());
+        lifecycle.every(
+            context.scope,
+            CHECK_PERIOD_MS,
+            () => background.runInBackground(context.log, "check stages", () => this.check()),
+        );
     }
 
     /** What is known about the use of a service's engines. */
--- a/packages/gateway/src/model/versions.ts
+++ b/packages/gateway/src/model/versions.ts
@@ -1,6 +1,7 @@
 import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
+import * as background from "../background.js";
 import type * as exchanges from "../exchange.js";
 import type * as logs from "../log.js";
 import type * as registries from "../registry.js";
@@ -72,7 +73,7 @@
         options.pool.setUpdateListener(() => this.onListing());
         lifecycle.every(options.scope, RETIREMENT_PERIOD_MS, () => {
             this.forgetExpired();
-            void this.retireVersions();
+            background.runInBackground(options.log, "retire software versions", () => this.retireVersions());
         });
     }
 
@@ -185,8 +186,9 @@
         if (this.publishing.has(service) || dispatch.addVersions(history, listed, this.era) === history) {
             return;
         }
-        const done = this.publishOnce(service, listed).finally(() => this.publishing.delete(service));
-        this.publishing.set(service, done);
+        const published = this.publishOnce(service, listed).finally(() => this.publishing.delete(service));
+        this.publishing.set(service, published);
+        background.runInBackground(this.options.log, "write software versions", () => published);
     }
 
     private async publishOnce(service: string, listed: readonly string[]): Promise<void> {
@@ -249,13 +251,22 @@
             }
         }
         if (!this.writing) {
-            void this.writeRecords();
+            background.runInBackground(this.options.log, "record streams", () => this.writeRecords());
         }
     }
 
     private async writeRecords(): Promise<void> {
-        const { log, registry, scope } = this.options;
         this.writing = true;
+        try {
+            await this.writeWaitingRecords();
+        }
+        finally {
+            this.writing = false;
+        }
+    }
+
+    private async writeWaitingRecords(): Promise<void> {
+        const { log, registry, scope } = this.options;
         while (this.waitingRecords.length > 0 && !scope.closed) {
             const records = this.waitingRecords.slice(0, RECORDS_PER_WRITE);
             const written = await registry.recordStreams(records);
@@ -271,7 +282,6 @@
             this.waitingRecords = this.waitingRecords.slice(-MAX_WAITING_RECORDS);
             await lifecycle.pause(scope, RETRY_MS);
         }
-        this.writing = false;
     }
 
     private forgetExpired(): void {
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -3,6 +3,7 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import type * as routing from "@citronlead/routing";
 import * as dgram from "node:dgram";
+import * as background from "./background.js";
 import type * as limits from "./limits.js";
 import type * as logs from "./log.js";
 import * as messages from "./messages.js";
@@ -100,7 +101,7 @@
         }
     };
     socket.on("error", (error) => log.notice("peer socket failed", { reason: error.message }));
-    socket.on("message", (bytes, from) => {
+    const receive = (bytes: Buffer, from: dgram.RemoteInfo) => {
         const message = messages.parseMessage(bytes);
         switch (message?.kind) {
             case messages.MessageKind.Charge: {
@@ -137,7 +138,8 @@
             case undefined:
                 log.decision("malformed datagram", { from: from.address, bytes: bytes.length });
         }
-    });
+    };
+    socket.on("message", background.guardListener((error) => log.failure("receive datagram", error), receive));
     await new Promise<void>((resolve, reject) => {
         socket.once("error", reject);
         socket.bind(listen.port, listen.address, () => {
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -135,6 +135,15 @@
             return;
         }
         this.reconciling = true;
+        try {
+            await this.writeDecisions(stored, store);
+        }
+        finally {
+            this.reconciling = false;
+        }
+    }
+
+    private async writeDecisions(stored: readonly string[], store: BarredStore): Promise<void> {
         for (const [fingerprint, decidedAt] of [...this.ownDecisions]) {
             if (this.clock() - decidedAt >= SAVE_PERIOD_MS) {
                 this.ownDecisions.delete(fingerprint);
@@ -151,7 +160,6 @@
                 this.withdrawn.delete(fingerprint);
             }
         }
-        this.reconciling = false;
     }
 
     private recordCrash(report: dispatch.CrashReport, origin: Record<string, unknown>): void {
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -1,5 +1,6 @@
 import * as dispatch from "@citronlead/dispatch";
 import type * as http from "node:http";
+import * as background from "../background.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
 import * as agents from "../upstream/agent.js";
@@ -133,16 +134,20 @@
         headers.responseHeaders(source.rawHeaders, length === undefined ? undefined : Number(length)),
         true,
     );
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
+        const fail = (error: unknown) => {
+            source.destroy();
+            reject(error);
+        };
         const onAbort = () => source.destroy();
         exchange.signal.addEventListener("abort", onAbort);
-        source.on("data", (bytes: Buffer) => {
+        const onData = (bytes: Buffer) => {
             if (!exchange.isOver && !response.write(bytes)) {
                 source.pause();
                 response.once("drain", () => source.resume());
             }
-        });
-        source.on("close", () => {
+        };
+        const onClose = () => {
             exchange.signal.removeEventListener("abort", onAbort);
             if (calls.isComplete(source)) {
                 exchange.endResponse(
@@ -153,6 +158,8 @@
                 exchange.abortResponse(exchanges.FinalReason.StreamBroken);
             }
             resolve();
-        });
+        };
+        source.on("data", background.guardListener(fail, onData));
+        source.on("close", background.guardListener(fail, onClose));
     });
 }
--- a/packages/gateway/src/relay/reachability.ts
+++ b/packages/gateway/src/relay/reachability.ts
@@ -3,6 +3,7 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import * as net from "node:net";
+import * as background from "../background.js";
 import type * as logs from "../log.js";
 import type * as agents from "../upstream/agent.js";
 import * as calls from "../upstream/call.js";
@@ -37,7 +38,7 @@
 
     /** Records how a call to an upstream ended, up to the headers of the response. */
     record(upstream: routing.Upstream, outcome: calls.CallOutcome): void {
-        if (outcome.progress === calls.CallProgress.Responded) {
+        if (outcome.progress === calls.CallProgress.Responded || outcome.malformed) {
             this.recordContact(upstream.service, "response");
         }
         else if (!outcome.aborted) {
@@ -70,7 +71,7 @@
             log.notice("upstreams unreachable", { service, state: known.state, upstreams: candidates.length, reason });
             // Idle connections may have gone silent.
             candidates.forEach((candidate) => agent.closeIdle(routing.incarnationOf(candidate.upstream)));
-            void this.probeUntilReachable(service, known);
+            background.runInBackground(log, "probe upstreams", () => this.probeUntilReachable(service, known));
         }
     }
 
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -47,6 +47,8 @@
         readonly reason: string;
         /** Whether the upstream closed the connection without a response, as a crash does. */
         readonly broken: boolean;
+        /** Whether the upstream's response could not be used. */
+        readonly malformed: boolean;
     };
 
 /** Smallest remaining time that is forwarded to an upstream. */
@@ -112,13 +114,13 @@
     if (outcome.progress !== calls.CallProgress.Responded) {
         return outcome.progress === calls.CallProgress.NotSent
             ? { kind: SendKind.NotRun, result: dispatch.SendResult.Unreachable, reason: outcome.reason }
-            : { kind: SendKind.Lost, reason: outcome.reason, broken: outcome.broken };
+            : { kind: SendKind.Lost, reason: outcome.reason, broken: outcome.broken, malformed: outcome.malformed };
     }
     const { response } = outcome;
     const metadata = exchange.context.wireFormat.parseResponse(response.headers);
     if (metadata.requestId !== undefined && requestId !== undefined && metadata.requestId !== requestId) {
         response.destroy();
-        return { kind: SendKind.Lost, reason: "answer to another request", broken: false };
+        return { kind: SendKind.Lost, reason: "answer to another request", broken: false, malformed: false };
     }
     const wrongUpstream = response.statusCode === 421;
     // A refusal may leave out the limit.
@@ -150,7 +152,8 @@
         health.record(sent.result, now);
     }
     else if (!isOver) {
-        health.record(dispatch.SendResult.Unreachable, now);
+        const malformed = sent.kind === SendKind.Lost && sent.malformed;
+        health.record(malformed ? dispatch.SendResult.Failed : dispatch.SendResult.Unreachable, now);
     }
 }
 
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -1,11 +1,13 @@
-import * as decision from "@citronlead/decision";
+import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
 import * as http from "node:http";
+import * as background from "./background.js";
 import * as charges from "./charge.js";
 import * as connections from "./connections.js";
 import type * as contexts from "./context.js";
 import * as exchanges from "./exchange.js";
+import * as heads from "./head.js";
 import type * as handlers from "./model/handler.js";
 import * as plain from "./plain.js";
 import * as quarantines from "./quarantine.js";
@@ -96,12 +98,8 @@
 
 /** Ends a request that failed on an internal error. Other requests continue, unless an invariant is broken. */
 function handleInternalError(context: contexts.GatewayContext, response: http.ServerResponse, error: unknown): void {
-    context.log.notice("internal error while handling a request", {
-        error: error instanceof Error ? error.stack : String(error),
-    });
-    if (error instanceof decision.BrokenInvariantError) {
-        throw error;
-    }
+    background.throwBrokenInvariant(error);
+    context.log.failure("handle request", error);
     response.destroy();
 }
 
@@ -120,6 +118,13 @@
         context.metrics.requests.inc({ service: "", outcome: reason });
         context.sendRefusal(response, metadata.requestId, { status, reason, retryAfterMs });
     };
+    const problem = heads.findMalformedHeader(request.rawHeaders);
+    if (problem !== undefined) {
+        context.log.decision("malformed request", { requestId: metadata.requestId, reason: problem });
+        response.shouldKeepAlive = false;
+        refuse(400, exchanges.FinalReason.BadRequest);
+        return;
+    }
     // The host that relayed a request has checked it against the limits.
     if (!relay && headerSizeBytes(request) > limits.headerBytes) {
         response.shouldKeepAlive = false;
--- a/packages/gateway/src/store/poller.ts
+++ b/packages/gateway/src/store/poller.ts
@@ -1,5 +1,6 @@
 import * as decision from "@citronlead/decision";
 import * as lifecycle from "@citronlead/lifecycle";
+import * as background from "../background.js";
 import type * as logs from "../log.js";
 import type * as metrics from "../metrics.js";
 
@@ -71,10 +72,23 @@
         });
     }
 
+    /** A read that throws is a failed one, which is repeated: polling never ends before the scope does. */
+    private async readGuarded(): Promise<decision.Outcome<unknown>> {
+        const { log, name, read } = this.options;
+        try {
+            return await read();
+        }
+        catch (error) {
+            background.throwBrokenInvariant(error);
+            log.failure(`read ${name}`, error);
+            return decision.unknownEffect("internal error");
+        }
+    }
+
     private async readOnce(): Promise<void> {
         const { clock, log, metrics, name, longPoll, onRead } = this.options;
         const startedAt = clock();
-        const outcome = await this.options.read();
+        const outcome = await this.readGuarded();
         this.attemptedAt = clock();
         metrics.storeCalls.inc({ call: name, result: outcome.effect });
         if (outcome.effect !== decision.Effect.Known) {
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -1,6 +1,7 @@
 import * as decision from "@citronlead/decision";
 import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
+import * as background from "../background.js";
 import type * as logs from "../log.js";
 import type * as metrics from "../metrics.js";
 import type * as quarantines from "../quarantine.js";
@@ -138,7 +139,12 @@
         const listed = await registry.listFleet();
         const registered = await registry.registerHost(options.host, options.address);
         if (listed.effect === decision.Effect.Known) {
-            void options.quarantine.reconcile(listed.value.barred, registry);
+            const { barred } = listed.value;
+            background.runInBackground(
+                log,
+                "compare barred fingerprints",
+                () => options.quarantine.reconcile(barred, registry),
+            );
             options.onVersions(listed.value.versions);
             const kept = clock() < hostGraceUntil ? hosts : [];
             const next = [...new Set([...listed.value.hosts, ...kept, options.address])].sort();
@@ -190,7 +196,11 @@
     const receiveConfigurationVersion = (receivedVersion: number | undefined) => {
         if (receivedVersion !== undefined && receivedVersion > version()) {
             // A reader does this too, in addition to its watch, because the connection of the watch may be dead.
-            void registry.readConfiguration().then(adoptRead);
+            background.runInBackground(
+                log,
+                "read configuration",
+                async () => adoptRead(await registry.readConfiguration()),
+            );
         }
         else if (receivedVersion === version() && !group.isReader) {
             configurationPoller.confirm(0);
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -1,5 +1,6 @@
 import type * as decision from "@citronlead/decision";
 import * as http from "node:http";
+import * as heads from "../head.js";
 import * as agents from "./agent.js";
 
 /** A request to an upstream. */
@@ -39,6 +40,8 @@
         readonly broken: boolean;
         /** Whether the caller's abort ended the call, which says nothing of the upstream. */
         readonly aborted: boolean;
+        /** Whether the upstream responded, but with what is no head of a response. */
+        readonly malformed: boolean;
     };
 
 /** Sends a request and waits for the response headers. */
@@ -46,7 +49,13 @@
     const { host, port } = splitAddress(call.address);
     return new Promise((resolve) => {
         if (call.signal?.aborted) {
-            resolve({ progress: CallProgress.NotSent, reason: "aborted", broken: false, aborted: true });
+            resolve({
+                progress: CallProgress.NotSent,
+                reason: "aborted",
+                broken: false,
+                aborted: true,
+                malformed: false,
+            });
             return;
         }
         const options: agents.UpstreamRequestOptions = {
@@ -63,6 +72,7 @@
         let connected = false;
         let reason: string | undefined;
         let stoppedHere = false;
+        let malformed = false;
         const stop = (cause: string) => {
             reason ??= cause;
             stoppedHere = true;
@@ -88,9 +98,16 @@
                 reason: reason ?? "closed",
                 broken: !stoppedHere,
                 aborted: call.signal?.aborted ?? false,
+                malformed,
             });
         });
         request.on("response", (response) => {
+            const problem = heads.findMalformedHead(response);
+            if (problem !== undefined) {
+                malformed = true;
+                stop(problem);
+                return;
+            }
             clearTimeout(timer);
             agent.recordKeepAlive(response.socket, response.headers);
             // A connection on which a part of the request body is unsent must not be reused.
--- /dev/null
+++ b/packages/gateway/test/malformedheads.test.ts
@@ -0,0 +1,93 @@
+import * as routing from "@citronlead/routing";
+import * as testing from "@citronlead/testing";
+import * as chai from "chai";
+import * as net from "node:net";
+import * as fixtures from "./fixture.js";
+
+const PORT_OFFSET = 3_260;
+const EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/** Lines of a head that Node's client accepts and its server refuses to write, or that no final response has. */
+const malformedHeads: Record<string, string> = {
+    "a space in the name of a header": "HTTP/1.1 200 OK\r\nx weight: 1\r\n",
+    "a header without a name": "HTTP/1.1 200 OK\r\n:1\r\n",
+    "a status below 100": "HTTP/1.1 099 OK\r\n",
+    "a status above 599": "HTTP/1.1 999 OK\r\n",
+};
+
+/** Sends bytes as a caller and returns what comes back until the connection ends. */
+function sendRaw(text: string): Promise<string> {
+    return new Promise((resolve) => {
+        let received = "";
+        const socket = net.connect(testing.testPortBase(PORT_OFFSET), "127.0.0.1");
+        socket.setTimeout(2_000, () => socket.destroy());
+        socket.on("data", (bytes: Buffer) => received += bytes.toString("latin1"));
+        socket.on("error", () => undefined);
+        socket.on("close", () => resolve(received));
+        socket.write(text, "latin1");
+    });
+}
+
+// Guards against one wrong byte in a head that ends the process (review case 3).
+describe("Malformed heads", () => {
+    const fixture = new fixtures.Fixture(PORT_OFFSET);
+    const headers = { "prompt-tokens": "500", "output-tokens": "100" };
+    let engine: fixtures.StandIn;
+    let counter: fixtures.StandIn;
+    const uncaught: unknown[] = [];
+    const record = (error: unknown) => void uncaught.push(error);
+    let former: NodeJS.UncaughtExceptionListener[];
+
+    before(async () => {
+        former = process.listeners("uncaughtException");
+        process.removeAllListeners("uncaughtException");
+        process.on("uncaughtException", record);
+        engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
+        counter = await fixture.addStandIn("counter");
+        await fixture.start(fixtures.makeConfiguration());
+    });
+    after(async () => {
+        await fixture.close();
+        process.off("uncaughtException", record);
+        former.forEach((listener) => process.on("uncaughtException", listener));
+    });
+    afterEach(() => chai.expect(uncaught.splice(0)).to.deep.equal([]));
+
+    const head = (start: string, received: fixtures.Received, body: string) =>
+        `${start}request-id: ${String(received.headers["request-id"])}\r\nsignature: s\r\n`
+        + `Content-Length: ${body.length}\r\n\r\n${body}`;
+
+    for (const [name, start] of Object.entries(malformedHeads)) {
+        it(`of engines with ${name} cost the request alone`, async () => {
+            engine.behave = (received, response, request) => {
+                if (received.path.startsWith("/reserve")) {
+                    response.end(JSON.stringify({ id: "reservation" }));
+                    return;
+                }
+                request.socket.end(head(start, received, EVENTS));
+            };
+            chai.expect((await fixture.send({ path: "/write/1", headers })).status).to.equal(502);
+            engine.behave = (received, _, request) => void request.socket.end(head(start, received, "{}"));
+            chai.expect((await fixture.send({ path: "/write/1", headers })).status).to.equal(503);
+        });
+
+        it(`of plain services with ${name} cost the request alone`, async () => {
+            const { behave } = counter;
+            counter.behave = (received, _, request) => void request.socket.end(head(start, received, "done"));
+            chai.expect((await fixture.send()).status).to.equal(502);
+            counter.behave = behave;
+            chai.expect((await fixture.send()).status).to.equal(200);
+        });
+    }
+
+    it("of callers are refused as such", async () => {
+        const start = "GET /book/1 HTTP/1.1\r\nHost: shop.example\r\nrequest-id: r-1\r\nkey: key-1\r\n";
+        for (const line of ["x weight: 1", ":1", "x-odd: a\u0001b"]) {
+            const before = counter.received.length;
+            const answer = await sendRaw(`${start}${line}\r\n\r\n`);
+            chai.expect(answer === "" || answer.startsWith("HTTP/1.1 400 "), JSON.stringify([line, answer]))
+                .to.equal(true);
+            chai.expect(counter.received.length).to.equal(before);
+        }
+    });
+});
