Bodies and streams: bound pieces and time beside bytes

Streams like that, events of three bytes and interim responses held the process up for seconds.

Cause: bounds counted bytes only, while a piece costs a buffer; EventSplitter copied what it held for each piece (quadratic). Ruled out: back-pressure (all pieces were read) and the total of 32 MB (bytes of the content only).

--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -267,6 +267,11 @@
             const runMs = this.context.clock() - startedAt;
             this.stageKeeper.balanceOf(exchange.service).observeRun(runMs, exchange.reservedTokens);
         }
+        if (end === relays.RelayEnd.OutOfBounds) {
+            reservation.candidate.health.record(dispatch.SendResult.Failed, this.context.clock());
+            exchange.recordCall("events", upstream, "beyond the accepted size or rate", this.context.clock());
+            return dispatch.SendEffect.MayHaveRun;
+        }
         if (end !== relays.RelayEnd.Broken) {
             return undefined;
         }
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -1,3 +1,4 @@
+import * as bodies from "@citronlead/bodies";
 import type * as decision from "@citronlead/decision";
 import type * as http from "node:http";
 import * as background from "../background.js";
@@ -12,6 +13,8 @@
     Complete = "complete",
     /** The upstream closed the stream early or stalled; the caller's response is still open. */
     Broken = "broken",
+    /** The upstream sent an event, or a number of pieces, beyond what is accepted; the caller's response is still open. */
+    OutOfBounds = "outOfBounds",
     /** The caller has its final response or has disconnected. */
     Over = "over",
 }
@@ -25,6 +28,10 @@
 
 /** Maximum size of an incomplete event that is buffered. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Maximum number of pieces of an incomplete event. */
+const MAX_EVENT_PIECES = MAX_EVENT_BYTES / bodies.PIECE_OVERHEAD_BYTES;
+/** Pieces of a stream: far more than any engine writes, and what a stream may have waiting after a pause of this process. */
+export const STREAM_PIECES: bodies.PieceRate = { burst: 16_384, perSecond: 2_000 };
 
 /**
  * Relays complete events as they arrive, until the stream ends, breaks or is silent for `silenceMs`. `confirmEnd` says
@@ -41,7 +48,9 @@
     const { context, response } = exchange;
     const splitter = new events.EventSplitter();
     const eventsBefore = exchange.relayedEvents;
+    const pieces = new bodies.PieceBudget(STREAM_PIECES, context.clock());
     let started = false;
+    let outOfBounds = false;
     return new Promise((resolve, reject) => {
         const fail = (error: unknown) => {
             source.destroy();
@@ -65,7 +74,12 @@
         const onAbort = () => source.destroy();
         exchange.signal.addEventListener("abort", onAbort);
         const onData = (bytes: Buffer) => {
-            if (exchange.isOver) {
+            if (exchange.isOver || outOfBounds) {
+                return;
+            }
+            if (!pieces.tryTake(context.clock())) {
+                outOfBounds = true;
+                source.destroy();
                 return;
             }
             const completeEvents = splitter.push(bytes);
@@ -81,7 +95,8 @@
                 }
                 progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
             }
-            else if (splitter.remainder.length > MAX_EVENT_BYTES) {
+            else if (splitter.remainder.length > MAX_EVENT_BYTES || splitter.remainderPieces > MAX_EVENT_PIECES) {
+                outOfBounds = true;
                 source.destroy();
             }
         };
@@ -101,7 +116,7 @@
                 return;
             }
             if (!whole) {
-                resolve(RelayEnd.Broken);
+                resolve(outOfBounds ? RelayEnd.OutOfBounds : RelayEnd.Broken);
                 return;
             }
             if (splitter.remainder.length > 0 || !response.headersSent) {
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -1,8 +1,10 @@
+import * as bodies from "@citronlead/bodies";
 import * as dispatch from "@citronlead/dispatch";
 import type * as http from "node:http";
 import * as background from "../background.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
+import * as streams from "../model/relay.js";
 import * as agents from "../upstream/agent.js";
 import * as calls from "../upstream/call.js";
 import * as envelopes from "./envelope.js";
@@ -126,7 +128,8 @@
 
 /** Relays an upstream's response that another host has relayed, as it arrives. */
 function relayResponse(exchange: exchanges.Exchange, source: http.IncomingMessage): Promise<void> {
-    const { response } = exchange;
+    const { context, response } = exchange;
+    const pieces = new bodies.PieceBudget(streams.STREAM_PIECES, context.clock());
     const status = source.statusCode ?? 502;
     const length = source.headers["content-length"];
     exchange.beginResponse(
@@ -142,6 +145,10 @@
         const onAbort = () => source.destroy();
         exchange.signal.addEventListener("abort", onAbort);
         const onData = (bytes: Buffer) => {
+            if (!pieces.tryTake(context.clock())) {
+                source.destroy();
+                return;
+            }
             if (!exchange.isOver && !response.write(bytes)) {
                 source.pause();
                 response.once("drain", () => source.resume());
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -1,4 +1,5 @@
-import type * as decision from "@citronlead/decision";
+import * as bodies from "@citronlead/bodies";
+import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
 import * as http from "node:http";
@@ -31,6 +32,13 @@
 /** Mean Retry-After while no host reaches the upstreams of a service. */
 const UNREACHABLE_RETRY_AFTER_MS = 800;
 
+/** Memory for all bodies of requests that are being read. */
+const requestBodies = new bodies.MemoryBudget(32 * 1_048_576);
+/** Longest time to read the body of a request; its caller may wait less. */
+const BODY_TIMEOUT_MS = 30 * decision.SECOND_MS;
+/** Mean Retry-After while the bodies of other requests take all of their memory. */
+const NO_MEMORY_RETRY_AFTER_MS = 500;
+
 /** The HTTP server for callers. */
 export interface CallerServer {
     /** Number of requests in flight. */
@@ -131,12 +139,23 @@
         refuse(431, exchanges.FinalReason.HeadersTooLong);
         return;
     }
-    const body = await readBody(request, limits.bodyBytes);
+    const body = await readBody(request, limits.bodyBytes, Math.min(metadata.timeoutMs ?? Infinity, BODY_TIMEOUT_MS));
     if (body === BodyProblem.TooLong) {
         response.shouldKeepAlive = false;
         refuse(413, exchanges.FinalReason.BodyTooLong);
         return;
     }
+    if (body === BodyProblem.NoMemory) {
+        response.shouldKeepAlive = false;
+        const retryAfterMs = NO_MEMORY_RETRY_AFTER_MS * (0.5 + context.random());
+        refuse(503, exchanges.FinalReason.NoCapacity, retryAfterMs);
+        return;
+    }
+    if (body === BodyProblem.TimedOut) {
+        response.shouldKeepAlive = false;
+        refuse(408, exchanges.FinalReason.TimedOut);
+        return;
+    }
     if (body === BodyProblem.Broken) {
         return;
     }
@@ -206,28 +225,44 @@
 
 enum BodyProblem {
     TooLong = "tooLong",
+    NoMemory = "noMemory",
+    TimedOut = "timedOut",
     /** The caller disconnected before the body was complete. */
     Broken = "broken",
 }
 
 /** Reads the body of a request. Undefined if the request has none. */
-function readBody(request: http.IncomingMessage, limitBytes: number): Promise<Buffer | undefined | BodyProblem> {
+function readBody(
+    request: http.IncomingMessage,
+    limitBytes: number,
+    timeoutMs: decision.Milliseconds,
+): Promise<Buffer | undefined | BodyProblem> {
     const hasBody = request.headers["content-length"] !== undefined
         || request.headers["transfer-encoding"] !== undefined;
     return new Promise((resolve) => {
-        const chunks: Buffer[] = [];
-        let lengthBytes = 0;
-        request.on("data", (chunk: Buffer) => {
-            lengthBytes += chunk.length;
-            if (lengthBytes > limitBytes) {
+        const collector = new bodies.BodyCollector(limitBytes, requestBodies);
+        let finished = false;
+        const finish = (result: Buffer | undefined | BodyProblem) => {
+            if (!finished) {
+                finished = true;
+                clearTimeout(timer);
+                collector.discard();
+                resolve(result);
+            }
+        };
+        const timer = setTimeout(() => {
+            request.pause();
+            finish(BodyProblem.TimedOut);
+        }, timeoutMs);
+        request.on("data", (piece: Buffer) => {
+            const added = finished ? bodies.AddResult.Added : collector.add(piece);
+            if (added !== bodies.AddResult.Added) {
                 request.pause();
-                resolve(BodyProblem.TooLong);
-                return;
+                finish(added === bodies.AddResult.TooLong ? BodyProblem.TooLong : BodyProblem.NoMemory);
             }
-            chunks.push(chunk);
         });
-        request.on("end", () => resolve(hasBody ? Buffer.concat(chunks) : undefined));
-        request.on("error", () => resolve(BodyProblem.Broken));
-        request.on("close", () => resolve(BodyProblem.Broken));
+        request.on("end", () => finish(hasBody ? collector.finish() : undefined));
+        request.on("error", () => finish(BodyProblem.Broken));
+        request.on("close", () => finish(BodyProblem.Broken));
     });
 }
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -1,3 +1,4 @@
+import * as bodies from "@citronlead/bodies";
 import type * as decision from "@citronlead/decision";
 import * as http from "node:http";
 import * as heads from "../head.js";
@@ -44,6 +45,9 @@
         readonly malformed: boolean;
     };
 
+/** Maximum number of interim responses before the final one. */
+const MAX_INTERIM_RESPONSES = 16;
+
 /** Sends a request and waits for the response headers. */
 export function startCall(agent: agents.UpstreamAgent, call: UpstreamCall): Promise<CallOutcome> {
     const { host, port } = splitAddress(call.address);
@@ -73,6 +77,7 @@
         let reason: string | undefined;
         let stoppedHere = false;
         let malformed = false;
+        let interimCount = 0;
         const stop = (cause: string) => {
             reason ??= cause;
             stoppedHere = true;
@@ -101,6 +106,12 @@
                 malformed,
             });
         });
+        request.on("information", () => {
+            if (++interimCount > MAX_INTERIM_RESPONSES) {
+                malformed = true;
+                stop("interim responses without end");
+            }
+        });
         request.on("response", (response) => {
             const problem = heads.findMalformedHead(response);
             if (problem !== undefined) {
@@ -157,11 +168,11 @@
 /** Maximum size of the body of a response to a control call, such as a reservation. */
 export const MAX_CONTROL_BODY_BYTES = 65_536;
 
-let totalBufferedBytes = 0;
+const bufferedBodies = new bodies.MemoryBudget(MAX_TOTAL_BUFFERED_BYTES);
 
 /**
- * Reads a whole response body. Undefined if it is incomplete, longer than the limit, does not fit in memory beside the
- * others, or takes too long; its connection is closed then.
+ * Reads a whole response body. Undefined if it is incomplete, longer than the limit or in too many pieces, does not fit in
+ * memory beside the others, or takes too long; its connection is closed then.
  */
 export function readBody(
     response: http.IncomingMessage,
@@ -169,21 +180,18 @@
     limitBytes = MAX_BUFFERED_BODY_BYTES,
 ): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-        const chunks: Buffer[] = [];
-        let lengthBytes = 0;
+        const collector = new bodies.BodyCollector(limitBytes, bufferedBodies);
         const timer = setTimeout(() => response.destroy(), Math.max(1, timeoutMs));
         response.on("data", (chunk: Buffer) => {
-            lengthBytes += chunk.length;
-            totalBufferedBytes += chunk.length;
-            chunks.push(chunk);
-            if (lengthBytes > limitBytes || totalBufferedBytes > MAX_TOTAL_BUFFERED_BYTES) {
+            if (!response.destroyed && collector.add(chunk) !== bodies.AddResult.Added) {
                 response.destroy();
+                collector.discard();
             }
         });
         response.on("close", () => {
             clearTimeout(timer);
-            totalBufferedBytes -= lengthBytes;
-            resolve(isComplete(response) ? Buffer.concat(chunks) : undefined);
+            const body = collector.finish();
+            resolve(isComplete(response) ? body : undefined);
         });
     });
 }
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -1,3 +1,4 @@
+import * as bodies from "@citronlead/bodies";
 import * as decision from "@citronlead/decision";
 import * as http from "node:http";
 
@@ -25,6 +26,11 @@
 /** Maximum size of a response body. */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+/** Maximum number of interim responses before the final one. */
+const MAX_INTERIM_RESPONSES = 16;
+/** Memory for all response bodies that are being read. */
+const responseBodies = new bodies.MemoryBudget(4 * MAX_RESPONSE_BYTES);
+
 /** Error codes that prove that the request was never sent. */
 const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "ENOTFOUND", "EADDRNOTAVAIL"]);
 
@@ -67,6 +73,12 @@
         const timer = setTimeout(() => request.destroy(new Error("timeout")), call.timeoutMs);
         request.on("close", () => clearTimeout(timer));
         request.on("error", fail);
+        let interimCount = 0;
+        request.on("information", () => {
+            if (++interimCount > MAX_INTERIM_RESPONSES) {
+                request.destroy(new Error("interim responses without end"));
+            }
+        });
         request.on("response", (response) => readJson(response, resolve, fail));
         request.end(payload);
     });
@@ -77,19 +89,16 @@
     resolve: (outcome: decision.Outcome<JsonResponse>) => void,
     fail: (error: Error) => void,
 ): void {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    response.on("data", (chunk: Buffer) => {
-        length += chunk.length;
-        if (length > MAX_RESPONSE_BYTES) {
+    const collector = new bodies.BodyCollector(MAX_RESPONSE_BYTES, responseBodies);
+    response.on("data", (piece: Buffer) => {
+        if (!response.destroyed && collector.add(piece) !== bodies.AddResult.Added) {
             response.destroy(new Error("response exceeds the size limit"));
-            return;
         }
-        chunks.push(chunk);
     });
+    response.on("close", () => collector.discard());
     response.on("error", fail);
     response.on("end", () => {
-        const text = Buffer.concat(chunks).toString("utf8");
+        const text = collector.finish().toString("utf8");
         try {
             const body: unknown = text === "" ? undefined : JSON.parse(text);
             resolve(decision.knownEffect({ status: response.statusCode ?? 0, body, headers: response.headers }));
