Ids and handles: read only what paths and headers can carry

Cause: the adapter took any text as a handle or as the id of a reservation; http.request throws on it where startCall is expected to give an outcome, and the release in the background had no catch. Ruled out: the decode call itself (the handle stands in a header there, where a space is allowed).

--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -55,7 +55,8 @@
     const call = { method: "GET", path, body: undefined };
     const outcome = await sends.startControlCall(context, upstream, call, RESPONSE_TIMEOUT_MS);
     if (outcome.progress !== calls.CallProgress.Responded) {
-        const isSilent = outcome.progress === calls.CallProgress.NoResponse && !outcome.broken;
+        const isSilent = outcome.progress === calls.CallProgress.NoResponse
+            && outcome.failure === calls.CallFailure.TimedOut;
         return isSilent ? silentIsRunning : undefined;
     }
     await calls.readBody(outcome.response, RESPONSE_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
--- a/packages/gateway/src/relay/reachability.ts
+++ b/packages/gateway/src/relay/reachability.ts
@@ -9,6 +9,11 @@
 import * as calls from "../upstream/call.js";
 import type * as pools from "../upstream/pool.js";
 
+/** Failures of calls that say nothing of the upstream. */
+const SILENT_FAILURES: ReadonlySet<calls.CallFailure> = new Set([
+    calls.CallFailure.Aborted,
+    calls.CallFailure.Unwritable,
+]);
 /** Interval between the rounds of probes of a service that cannot be reached. */
 const PROBE_PERIOD_MS = 250;
 /** Number of upstreams that are probed in a round. */
@@ -38,10 +43,10 @@
 
     /** Records how a call to an upstream ended, up to the headers of the response. */
     record(upstream: routing.Upstream, outcome: calls.CallOutcome): void {
-        if (outcome.progress === calls.CallProgress.Responded || outcome.malformed) {
+        if (outcome.progress === calls.CallProgress.Responded || outcome.failure === calls.CallFailure.Malformed) {
             this.recordContact(upstream.service, "response");
         }
-        else if (!outcome.aborted) {
+        else if (!SILENT_FAILURES.has(outcome.failure)) {
             this.recordFailure(upstream, outcome.reason);
         }
     }
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -45,10 +45,8 @@
     | {
         readonly kind: SendKind.Lost;
         readonly reason: string;
-        /** Whether the upstream closed the connection without a response, as a crash does. */
-        readonly broken: boolean;
-        /** Whether the upstream's response could not be used. */
-        readonly malformed: boolean;
+        /** Broken if the upstream closed the connection without a response, as a crash does. */
+        readonly failure: calls.CallFailure;
     };
 
 /** Smallest remaining time that is forwarded to an upstream. */
@@ -97,7 +95,7 @@
     const text = sent.kind === SendKind.Response ? String(sent.response.statusCode) : `${sent.kind}: ${sent.reason}`;
     exchange.recordCall(options.call, upstream, text, startedAt);
     recordHealth(health, sent, exchange.isOver, context.clock());
-    if (sent.kind === SendKind.Lost && sent.broken) {
+    if (sent.kind === SendKind.Lost && sent.failure === calls.CallFailure.Broken) {
         const decoding = !(options.prefillOnly ?? false);
         context.quarantine.reportCrash(exchange, { upstream, startedAt, decoding, events: 0 });
     }
@@ -114,13 +112,13 @@
     if (outcome.progress !== calls.CallProgress.Responded) {
         return outcome.progress === calls.CallProgress.NotSent
             ? { kind: SendKind.NotRun, result: dispatch.SendResult.Unreachable, reason: outcome.reason }
-            : { kind: SendKind.Lost, reason: outcome.reason, broken: outcome.broken, malformed: outcome.malformed };
+            : { kind: SendKind.Lost, reason: outcome.reason, failure: outcome.failure };
     }
     const { response } = outcome;
     const metadata = exchange.context.wireFormat.parseResponse(response.headers);
     if (metadata.requestId !== undefined && requestId !== undefined && metadata.requestId !== requestId) {
         response.destroy();
-        return { kind: SendKind.Lost, reason: "answer to another request", broken: false, malformed: false };
+        return { kind: SendKind.Lost, reason: "answer to another request", failure: calls.CallFailure.Malformed };
     }
     const wrongUpstream = response.statusCode === 421;
     // A refusal may leave out the limit.
@@ -152,7 +150,7 @@
         health.record(sent.result, now);
     }
     else if (!isOver) {
-        const malformed = sent.kind === SendKind.Lost && sent.malformed;
+        const malformed = sent.kind === SendKind.Lost && sent.failure === calls.CallFailure.Malformed;
         health.record(malformed ? dispatch.SendResult.Failed : dispatch.SendResult.Unreachable, now);
     }
 }
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -31,18 +31,27 @@
     NoResponse = "noAnswer",
 }
 
+/** Why a call got no response that can be used. */
+export enum CallFailure {
+    /** The connection was refused, closed by the upstream or failed. */
+    Broken = "broken",
+    /** No connection or no response in time. */
+    TimedOut = "timedOut",
+    /** The caller's abort ended the call, which says nothing of the upstream. */
+    Aborted = "aborted",
+    /** The upstream responded, but with what is no head of a response. */
+    Malformed = "malformed",
+    /** The request cannot be written, which says nothing of the upstream. */
+    Unwritable = "unwritable",
+}
+
 /** Outcome of a call up to the response headers. */
 export type CallOutcome =
     | { readonly progress: CallProgress.Responded; readonly response: http.IncomingMessage; }
     | {
         readonly progress: CallProgress.NotSent | CallProgress.NoResponse;
+        readonly failure: CallFailure;
         readonly reason: string;
-        /** Whether the connection was closed by the upstream or failed, rather than by a timeout or an abort. */
-        readonly broken: boolean;
-        /** Whether the caller's abort ended the call, which says nothing of the upstream. */
-        readonly aborted: boolean;
-        /** Whether the upstream responded, but with what is no head of a response. */
-        readonly malformed: boolean;
     };
 
 /** Maximum number of interim responses before the final one. */
@@ -53,13 +62,7 @@
     const { host, port } = splitAddress(call.address);
     return new Promise((resolve) => {
         if (call.signal?.aborted) {
-            resolve({
-                progress: CallProgress.NotSent,
-                reason: "aborted",
-                broken: false,
-                aborted: true,
-                malformed: false,
-            });
+            resolve({ progress: CallProgress.NotSent, failure: CallFailure.Aborted, reason: "aborted" });
             return;
         }
         const options: agents.UpstreamRequestOptions = {
@@ -72,19 +75,24 @@
             agent,
             incarnation: call.incarnation,
         };
-        const request = http.request(options);
+        const request = openRequest(options);
+        if (!(request instanceof http.ClientRequest)) {
+            resolve({ progress: CallProgress.NotSent, failure: CallFailure.Unwritable, reason: request.problem });
+            return;
+        }
         let connected = false;
+        let failure = CallFailure.Broken;
         let reason: string | undefined;
-        let stoppedHere = false;
-        let malformed = false;
         let interimCount = 0;
-        const stop = (cause: string) => {
-            reason ??= cause;
-            stoppedHere = true;
+        const stop = (cause: CallFailure, detail: string) => {
+            if (reason === undefined) {
+                failure = cause;
+                reason = detail;
+            }
             request.destroy();
         };
-        const timer = setTimeout(() => stop("timeout"), Math.max(1, call.headersTimeoutMs));
-        const onAbort = () => stop("aborted");
+        const timer = setTimeout(() => stop(CallFailure.TimedOut, "timeout"), Math.max(1, call.headersTimeoutMs));
+        const onAbort = () => stop(CallFailure.Aborted, "aborted");
         call.signal?.addEventListener("abort", onAbort);
         request.on("socket", (socket) => {
             if (socket.connecting) {
@@ -100,23 +108,19 @@
             call.signal?.removeEventListener("abort", onAbort);
             resolve({
                 progress: connected ? CallProgress.NoResponse : CallProgress.NotSent,
+                failure: call.signal?.aborted ? CallFailure.Aborted : failure,
                 reason: reason ?? "closed",
-                broken: !stoppedHere,
-                aborted: call.signal?.aborted ?? false,
-                malformed,
             });
         });
         request.on("information", () => {
             if (++interimCount > MAX_INTERIM_RESPONSES) {
-                malformed = true;
-                stop("interim responses without end");
+                stop(CallFailure.Malformed, "interim responses without end");
             }
         });
         request.on("response", (response) => {
             const problem = heads.findMalformedHead(response);
             if (problem !== undefined) {
-                malformed = true;
-                stop(problem);
+                stop(CallFailure.Malformed, problem);
                 return;
             }
             clearTimeout(timer);
@@ -135,6 +139,16 @@
     });
 }
 
+/** Starts a request, or tells why it cannot be written: Node throws on characters that a path or header cannot have. */
+function openRequest(options: agents.UpstreamRequestOptions): http.ClientRequest | { readonly problem: string; } {
+    try {
+        return http.request(options);
+    }
+    catch (error) {
+        return { problem: error instanceof Error ? error.message : String(error) };
+    }
+}
+
 function withLength(headers: readonly string[], body: Buffer | undefined): string[] {
     return body === undefined ? [...headers] : [...headers, "Content-Length", String(body.length)];
 }
