Messages between hosts: bound numbers and texts

Found beside the odd entries of the store: a message or an envelope with a negative or huge number was taken as it was (a time left of -1 ms, charges of 1e308), and a timer set from it would fire at once.

--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -30,57 +30,61 @@
 
 // Hosts of earlier builds leave out what has a default here.
 const ledgerSchema = zod.enum(Ledger).default(Ledger.Workspaces);
-const fingerprintsSchema = zod.array(zod.string()).readonly();
+const MAX_TEXT_CHARACTERS = 1_024;
+const text = zod.string().max(MAX_TEXT_CHARACTERS);
+/** Sums and products of such numbers are finite. */
+const amount = zod.number().min(0).max(1e15);
+const fingerprintsSchema = zod.array(text).readonly();
 
 const messageSchema = zod.discriminatedUnion("kind", [
     zod.object({
         kind: zod.literal(MessageKind.Charge),
-        id: zod.number(),
+        id: amount,
         ledger: ledgerSchema,
-        workspace: zod.string(),
-        limit: zod.object({ ratePerSecond: zod.number(), burst: zod.number(), version: zod.number() }),
-        cost: zod.number(),
+        workspace: text,
+        limit: zod.object({ ratePerSecond: amount, burst: amount, version: amount }),
+        cost: amount,
     }),
     zod.object({
         kind: zod.literal(MessageKind.ChargeReply),
-        id: zod.number(),
+        id: amount,
         answer: zod.discriminatedUnion("granted", [
-            zod.object({ granted: zod.literal(true), bucket: zod.number().optional() }),
-            zod.object({ granted: zod.literal(false), waitMs: zod.number() }),
+            zod.object({ granted: zod.literal(true), bucket: amount.optional() }),
+            zod.object({ granted: zod.literal(false), waitMs: amount }),
         ]),
     }),
     zod.object({
         kind: zod.literal(MessageKind.Refund),
         ledger: ledgerSchema,
-        workspace: zod.string(),
-        bucket: zod.number(),
-        cost: zod.number(),
+        workspace: text,
+        bucket: amount,
+        cost: amount,
     }),
     zod.object({
         kind: zod.literal(MessageKind.CrashReports),
         reports: zod.array(zod.object({
-            service: zod.string().default(""),
-            content: zod.string(),
+            service: text.default(""),
+            content: text,
             parts: fingerprintsSchema.default([]),
-            incarnation: zod.string(),
-            ranMs: zod.number().default(0),
+            incarnation: text,
+            ranMs: amount.default(0),
         })),
     }),
     zod.object({
         kind: zod.literal(MessageKind.Limit),
-        incarnation: zod.string(),
-        perSecond: zod.number().optional(),
+        incarnation: text,
+        perSecond: amount.optional(),
     }),
     zod.object({ kind: zod.literal(MessageKind.Barred), fingerprints: fingerprintsSchema }),
     zod.object({ kind: zod.literal(MessageKind.Cleared), fingerprints: fingerprintsSchema }),
     zod.object({
         kind: zod.literal(MessageKind.StoreUpdate),
         news: zod.object({
-            era: zod.number().default(0),
-            revision: zod.number(),
-            upstreams: zod.string(),
-            ageMs: zod.number(),
-            configuration: zod.number().optional(),
+            era: amount.default(0),
+            revision: amount,
+            upstreams: text,
+            ageMs: amount,
+            configuration: amount.optional(),
         }),
     }),
 ]);
--- a/packages/gateway/src/relay/envelope.ts
+++ b/packages/gateway/src/relay/envelope.ts
@@ -25,7 +25,10 @@
     readonly configuration: number;
 }
 
-const requestSchema = zod.object({ timeLeftMs: zod.number(), configuration: zod.number() });
+/** Longest period of a timer of Node. */
+const MAX_DURATION_MS = 2_147_483_647;
+const durationMs = zod.number().min(0).max(MAX_DURATION_MS);
+const requestSchema = zod.object({ timeLeftMs: durationMs, configuration: zod.number() });
 
 /** The relayed requests that have arrived. */
 const relayedRequests = new WeakMap<http.IncomingMessage, RelayedRequest>();
@@ -51,7 +54,7 @@
     return relayedRequests.has(request) ? [REFUSAL_HEADER, JSON.stringify({ reason, retryAfterMs })] : [];
 }
 
-const refusalSchema = zod.object({ reason: zod.string(), retryAfterMs: zod.number().optional() });
+const refusalSchema = zod.object({ reason: zod.string(), retryAfterMs: durationMs.optional() });
 
 /** Why the serving host refused a relayed request; undefined if the response is an upstream's. */
 export function parseRefusal(headers: http.IncomingHttpHeaders): RelayedRefusal | undefined {
