Answers: each must belong to its call, requests and control calls alike

Cause: an answer without an id passed for any request's, one with an id for any control call's; a second send of a request to the same engine has the same id as the first. Ruled out: bytes that arrive while a connection is idle (they close it).

startCall checks each head against its call; the connection of one that does not belong is closed. A repeat to the same incarnation has a connection of its own.

The stand-ins of the gateway's tests did not repeat ids as PROTOCOL.md has it; they do now, and their checks are as they were.

--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -73,9 +73,18 @@
         reservation: options.reservation,
         resumeAfterEventId: options.resumeAfterEventId,
     };
+    const incarnation = routing.incarnationOf(upstream);
+    // Responses to both sends bear the same id, so that a late copy of the first could be taken for the second.
+    const ownConnection = exchange.sentTo.has(incarnation);
+    exchange.sentTo.add(incarnation);
     const outcome = await calls.startCall(context.agent, {
         address: upstream.address,
-        incarnation: routing.incarnationOf(upstream),
+        incarnation,
+        ownConnection,
+        findMismatch: (headers) => {
+            const { requestId } = context.wireFormat.parseResponse(headers);
+            return requestId === metadata.requestId ? undefined : `response to request ${requestId ?? "without an id"}`;
+        },
         method: request.method ?? "GET",
         path: request.url ?? "/",
         headers: context.wireFormat.upstreamHeaders(request.rawHeaders, forwarding),
@@ -84,7 +93,7 @@
         signal: exchange.signal,
     });
     context.reachability.record(upstream, outcome);
-    const sent = await classifyOutcome(exchange, upstream, outcome, metadata.requestId, startedAt);
+    const sent = await classifyOutcome(exchange, upstream, outcome, startedAt);
     const acceptedPrefill = options.prefillOnly && sent.kind === SendKind.Response && sent.response.statusCode === 200;
     if (acceptedPrefill && !exchange.hasPrefill) {
         exchange.hasPrefill = true;
@@ -106,7 +115,6 @@
     exchange: exchanges.Exchange,
     upstream: routing.Upstream,
     outcome: calls.CallOutcome,
-    requestId: string | undefined,
     sentAt: decision.Milliseconds,
 ): Promise<SendOutcome> {
     if (outcome.progress !== calls.CallProgress.Responded) {
@@ -116,10 +124,6 @@
     }
     const { response } = outcome;
     const metadata = exchange.context.wireFormat.parseResponse(response.headers);
-    if (metadata.requestId !== undefined && requestId !== undefined && metadata.requestId !== requestId) {
-        response.destroy();
-        return { kind: SendKind.Lost, reason: "answer to another request", failure: calls.CallFailure.Malformed };
-    }
     const wrongUpstream = response.statusCode === 421;
     // A refusal may leave out the limit.
     if (!wrongUpstream && (metadata.limitPerSecond !== undefined || !metadata.notRun)) {
@@ -169,6 +173,10 @@
     const outcome = await calls.startCall(context.agent, {
         address: upstream.address,
         incarnation: routing.incarnationOf(upstream),
+        findMismatch: (headers) => {
+            const { requestId } = context.wireFormat.parseResponse(headers);
+            return requestId === undefined ? undefined : `response to request ${requestId}`;
+        },
         method: call.method,
         path: call.path,
         headers: [
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -17,6 +17,10 @@
     readonly body: Buffer | undefined;
     /** Maximum time until the response headers arrive. */
     readonly headersTimeoutMs: decision.Milliseconds;
+    /** What in the headers of a response shows that it answers another call; undefined if it answers this one. */
+    readonly findMismatch?: (headers: http.IncomingHttpHeaders) => string | undefined;
+    /** Whether the call gets a connection that no other call uses, before or after it. */
+    readonly ownConnection?: boolean;
     /** Cancels the call and closes its connection when aborted. */
     readonly signal: AbortSignal | undefined;
 }
@@ -39,7 +43,7 @@
     TimedOut = "timedOut",
     /** The caller's abort ended the call, which says nothing of the upstream. */
     Aborted = "aborted",
-    /** The upstream responded, but with what is no head of a response. */
+    /** The upstream sent what is no head of a response, or a response that answers another call. */
     Malformed = "malformed",
     /** The request cannot be written, which says nothing of the upstream. */
     Unwritable = "unwritable",
@@ -57,6 +61,9 @@
 /** Maximum number of interim responses before the final one. */
 const MAX_INTERIM_RESPONSES = 16;
 
+/** Number of connections that were opened for one call; names the pool of each. */
+let ownConnections = 0;
+
 /** Sends a request and waits for the response headers. */
 export function startCall(agent: agents.UpstreamAgent, call: UpstreamCall): Promise<CallOutcome> {
     const { host, port } = splitAddress(call.address);
@@ -70,10 +77,10 @@
             port,
             method: call.method,
             path: call.path,
-            headers: withLength(call.headers, call.body) as unknown as http.OutgoingHttpHeaders,
+            headers: headersOf(call) as unknown as http.OutgoingHttpHeaders,
             setHost: false,
             agent,
-            incarnation: call.incarnation,
+            incarnation: call.ownConnection ? `${call.incarnation} ${++ownConnections}` : call.incarnation,
         };
         const request = openRequest(options);
         if (!(request instanceof http.ClientRequest)) {
@@ -118,7 +125,7 @@
             }
         });
         request.on("response", (response) => {
-            const problem = heads.findMalformedHead(response);
+            const problem = heads.findMalformedHead(response) ?? call.findMismatch?.(response.headers);
             if (problem !== undefined) {
                 stop(CallFailure.Malformed, problem);
                 return;
@@ -149,8 +156,12 @@
     }
 }
 
-function withLength(headers: readonly string[], body: Buffer | undefined): string[] {
-    return body === undefined ? [...headers] : [...headers, "Content-Length", String(body.length)];
+function headersOf({ headers, body, ownConnection }: UpstreamCall): string[] {
+    return [
+        ...headers,
+        ...(body === undefined ? [] : ["Content-Length", String(body.length)]),
+        ...(ownConnection ? ["Connection", "close"] : []),
+    ];
 }
 
 /** Splits an address of the form HOST:PORT. */
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -144,6 +144,11 @@
                     body: Buffer.concat(chunks).toString("utf8"),
                 };
                 standIn.received.push(received);
+                // Upstreams repeat the id of a request in whatever they respond.
+                const requestId = text(request.headers["request-id"]);
+                if (requestId !== undefined) {
+                    response.setHeader("request-id", requestId);
+                }
                 standIn.behave(received, response, request);
             });
         });
--- /dev/null
+++ b/packages/gateway/test/latecopies.test.ts
@@ -0,0 +1,80 @@
+import * as routing from "@citronlead/routing";
+import * as chai from "chai";
+import type * as net from "node:net";
+import * as fixtures from "./fixture.js";
+
+const EVENTS = "id: 1\ndata: a\n\n";
+const REFUSAL_OF_RESERVATION = "HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+const REFUSAL_OF_RUN = "HTTP/1.1 503 Full\r\nrequest-id: other\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+
+// Guards against requests that are refused or run twice because another answer was taken for theirs (review case 2).
+describe("Late copies of answers", () => {
+    let fixture: fixtures.Fixture;
+    let engine: fixtures.StandIn;
+    const headers = { "prompt-tokens": "500", "output-tokens": "100" };
+    const runs: net.Socket[] = [];
+
+    beforeEach(async () => {
+        fixture = new fixtures.Fixture(3_320);
+        runs.length = 0;
+        engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
+        await fixture.start(fixtures.makeConfiguration());
+    });
+    afterEach(() => fixture.close());
+
+    const reserve: fixtures.Behaviour = (_, response) => void response.end(JSON.stringify({ id: "reservation" }));
+    const serve = (onRun: fixtures.Behaviour, onReserve = reserve) => {
+        engine.behave = (received, response, request) => {
+            if (received.path.startsWith("/reserve")) {
+                onReserve(received, response, request);
+                return;
+            }
+            runs.push(request.socket);
+            onRun(received, response, request);
+        };
+    };
+    const stream: fixtures.Behaviour = (received, response) => fixtures.signed(response, received, EVENTS);
+
+    it("of a refused reservation are not taken for the answer to a run", async () => {
+        serve((_received, _response, request) => void request.socket.write(REFUSAL_OF_RESERVATION));
+        const { status } = await fixture.send({ path: "/write/1", headers });
+        chai.expect(status, "the request may have run").to.equal(502);
+        chai.expect(runs.length).to.equal(1);
+    });
+
+    it("of another run are not taken for the answer to a run", async () => {
+        serve((_received, _response, request) => void request.socket.write(REFUSAL_OF_RUN));
+        const { status } = await fixture.send({ path: "/write/1", headers });
+        chai.expect(status).to.equal(502);
+        chai.expect(runs.length).to.equal(1);
+    });
+
+    it("of a run are not taken for the answer to a reservation, and their connection is closed", async () => {
+        const copied = new Set<net.Socket>();
+        serve(stream, (received, response, request) => {
+            if (copied.size > 0) {
+                reserve(received, response, request);
+                return;
+            }
+            copied.add(request.socket);
+            request.socket.write(REFUSAL_OF_RUN);
+        });
+        const { status } = await fixture.send({ path: "/write/1", headers });
+        chai.expect([...copied].every(({ closed, destroyed }) => closed || destroyed)).to.equal(true);
+        chai.expect(status).to.be.oneOf([200, 503]);
+        chai.expect(runs.length).to.equal(status === 200 ? 1 : 0);
+    });
+
+    it("of a refused run are not taken for the answer to the next run of the same request", async () => {
+        serve((received, response, request) => {
+            if (runs.length === 1) {
+                response.writeHead(503, { "request-id": "r-1", "not-run": "1" }).end();
+                return;
+            }
+            stream(received, response, request);
+        });
+        const { status, body } = await fixture.send({ path: "/write/1", headers });
+        chai.expect({ status, body }).to.deep.equal({ status: 200, body: EVENTS });
+        chai.expect(new Set(runs).size, "connections of the runs").to.equal(2);
+    });
+});
--- a/packages/gateway/test/plain.test.ts
+++ b/packages/gateway/test/plain.test.ts
@@ -117,7 +117,9 @@
             setTimeout(() => request.socket.resetAndDestroy(), 30);
         });
         chai.expect((await fixture.send()).status).to.equal(502);
-        both((_received, _response, request) => void request.socket.end(`${head}all of it`));
+        both((received, response, request) =>
+            received.path === "/health" ? void response.end() : void request.socket.end(`${head}all of it`)
+        );
         const response = await fixture.send();
         chai.expect(response).to.include({ status: 200, body: "all of it", complete: true });
         chai.expect(response.headers).to.not.have.any.keys("content-length", "transfer-encoding");
