Streams: list the upstreams anew before one goes on, if the listing may be old

Cause: the host knew the stream's version from the store and the engines' versions from a listing of before its pause. Ruled out: the record of the stream (it was right in all 16) and a wrong guess of the history (two versions stood in it).

StreamContinuation (model/continuation.ts, out of handler.ts) confirms the listing if it is old or the service has several versions; StallDetector keeps updates that waited in the socket from confirming it.

--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -7,12 +7,12 @@
 import * as liveness from "../liveness.js";
 import * as sends from "../send.js";
 import * as calls from "../upstream/call.js";
+import * as continuations from "./continuation.js";
 import * as prefills from "./prefill.js";
 import * as queues from "./queue.js";
 import * as relays from "./relay.js";
 import * as reservations from "./reservation.js";
 import * as stages from "./stages.js";
-import * as versions from "./versions.js";
 
 /** Maximum number of rounds of reservation, prefill and decode for one request. */
 const MAX_ROUNDS = 3;
@@ -26,8 +26,6 @@
 const SILENCE_SHARE = 0.92;
 /** Mean Retry-After when no engine is available: crashed engines restart within seconds. */
 const NO_ENGINE_RETRY_AFTER_MS = 1_500;
-/** Retry-After for a stream that no host can continue. */
-const UNKNOWN_VERSION_RETRY_AFTER_MS = 60_000;
 /** Minimum time left for another round to be worthwhile: a prefill and a few events. */
 const MIN_REMAINING_MS = 400;
 
@@ -37,9 +35,11 @@
     private readonly queues = new Map<string, queues.CapacityQueue>();
 
     private readonly stageKeeper: stages.StageKeeper;
+    private readonly continuation: continuations.StreamContinuation;
 
     constructor(private readonly context: contexts.GatewayContext) {
         this.stageKeeper = new stages.StageKeeper(context);
+        this.continuation = new continuations.StreamContinuation(context, () => this.noEngineRetryAfterMs());
     }
 
     /**
@@ -47,7 +47,7 @@
      * as far as the route and the retry budget allow.
      */
     async handle(exchange: exchanges.Exchange): Promise<void> {
-        const progress = await this.startProgress(exchange);
+        const progress = await this.continuation.startProgress(exchange);
         if (!progress) {
             return;
         }
@@ -58,11 +58,15 @@
             if (round > 0 && !exchange.tryAcquireRetries(skipPrefill || !exchange.hasPrefill ? 1 : 2)) {
                 break;
             }
+            const goesOn = round > 0 && progress.softwareVersion !== undefined;
+            if (goesOn && !await this.continuation.confirmUpstreams(exchange)) {
+                break;
+            }
             const refusedBefore = exchange.refusedReservations;
             const reservation = await reservations.reserveCapacity(
                 exchange,
                 this.queueOf(exchange.service),
-                (upstream) => this.mayProduce(exchange, progress, upstream),
+                (upstream) => this.continuation.mayProduce(exchange, progress, upstream),
             );
             for (let refused = refusedBefore; refused < exchange.refusedReservations; refused++) {
                 this.stageKeeper.balanceOf(exchange.service).observeRefusal(this.context.clock());
@@ -101,46 +105,6 @@
         }
     }
 
-    /** What the caller has of the stream. Undefined if the request was refused. */
-    private async startProgress(exchange: exchanges.Exchange): Promise<relays.StreamProgress | undefined> {
-        const { metadata, route, service } = exchange;
-        const { pool, streamVersions } = this.context;
-        const progress = { lastEventId: metadata.lastEventId, softwareVersion: undefined };
-        if (!route.resumable) {
-            return progress;
-        }
-        if (metadata.lastEventId === undefined) {
-            await streamVersions.settle(service);
-            return progress;
-        }
-        const { softwareVersion, source } = await streamVersions.findVersion(exchange);
-        const isServed = pool.candidates(service, this.context.clock())
-            .some(({ upstream }) => upstream.softwareVersion === softwareVersion);
-        if (softwareVersion === undefined || !isServed) {
-            const mayBeKnownElsewhere = source === versions.VersionSource.Unavailable;
-            exchange.refuse({
-                status: 503,
-                reason: exchanges.FinalReason.NoVersion,
-                retryAfterMs: mayBeKnownElsewhere
-                    ? this.noEngineRetryAfterMs()
-                    : UNKNOWN_VERSION_RETRY_AFTER_MS,
-            });
-            return undefined;
-        }
-        return exchange.isOver ? undefined : { ...progress, softwareVersion };
-    }
-
-    /** Whether the next events of a stream may come from the upstream. */
-    private mayProduce(
-        { route, service }: exchanges.Exchange,
-        { softwareVersion }: relays.StreamProgress,
-        upstream: routing.Upstream,
-    ): boolean {
-        return softwareVersion === undefined
-            ? !route.resumable || this.context.streamVersions.mayBeginAt(service, upstream.softwareVersion)
-            : upstream.softwareVersion === softwareVersion;
-    }
-
     private queueOf(service: string): queues.CapacityQueue {
         const queue = this.queues.get(service) ?? new queues.CapacityQueue(this.context.scope, this.context.clock);
         this.queues.set(service, queue);
--- a/packages/gateway/src/model/versions.ts
+++ b/packages/gateway/src/model/versions.ts
@@ -82,6 +82,11 @@
         return dispatch.mayBeginAt(this.stored.get(service)?.history, softwareVersion, this.era);
     }
 
+    /** Whether the service is known to have, or to have had lately, upstreams of more than one version. */
+    hasSeveral(service: string): boolean {
+        return dispatch.needsRecords(this.stored.get(service)?.history);
+    }
+
     /** Resolves when versions that are about to be written have been, or a write has failed. */
     async settle(service: string): Promise<void> {
         await this.publishing.get(service);
--- a/packages/gateway/src/store/poller.ts
+++ b/packages/gateway/src/store/poller.ts
@@ -53,6 +53,14 @@
         return this.readInFlight;
     }
 
+    /** Reads once more after a read that is in flight: its answer may be older than this call. Returns whether that succeeds. */
+    async readAnew(): Promise<boolean> {
+        const requestedAt = this.options.clock();
+        await this.readInFlight;
+        await this.refresh();
+        return this.validAt >= requestedAt;
+    }
+
     private async run(): Promise<void> {
         const { scope, clock, maxAgeMs, retryDelayMs } = this.options;
         while (!scope.closed) {
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -42,6 +42,10 @@
     readonly hosts: () => readonly string[];
     /** See `Registry.holdDuty`. */
     readonly holdDuty: registries.Registry["holdDuty"];
+    /** Whether the upstreams were listed as lately as they are without disturbance. */
+    readonly isInStep: () => boolean;
+    /** Lists the upstreams anew. Returns whether the listing is of a time after the call. */
+    readonly confirmUpstreams: () => Promise<boolean>;
     /** Handles an update from a reader. */
     readonly receiveUpdate: (update: routing.StoreUpdate) => void;
     /** Sets how updates are sent to other hosts; until then none are sent. */
@@ -206,12 +210,24 @@
             configurationPoller.confirm(0);
         }
     };
+    const stalls = new lifecycle.StallDetector(
+        scope,
+        clock,
+        (lengthMs) => log.notice("process stood still", { lengthMs: Math.round(lengthMs) }),
+    );
     return {
         activeConfiguration: () => active,
         hosts: () => hosts,
         holdDuty: registry.holdDuty,
         setPublisher: (publisher) => publishUpdate = publisher,
+        isInStep: () => !stalls.readsBacklog && upstreamPoller.ageMs <= maxSilenceMs(),
+        confirmUpstreams: () => upstreamPoller.readAnew(),
         receiveUpdate: (update) => {
+            // Updates that waited while the process stood still are older than they say.
+            if (stalls.readsBacklog) {
+                void upstreamPoller.refresh();
+                return;
+            }
             receiveConfigurationVersion(update.configuration);
             switch (directory.compareListing(update)) {
                 case routing.ListingComparison.Same:
