Send gate: nothing new for upstreams that leave or want nothing

SendGate decides for each incarnation; every answer is read, and both functions that send ask it. Health no longer keeps replaced incarnations: the gate does. A reservation that is not used is given back to an upstream that leaves. Where all are away, a request waits if its target and a third of its caller's time allow it, else it is refused at once, truthfully.

--- a/packages/dispatch/src/health.ts
+++ b/packages/dispatch/src/health.ts
@@ -10,8 +10,8 @@
     Full = "full",
     /** No connection, a connection reset, or no response in time. */
     Unreachable = "unreachable",
-    /** Another incarnation or another upstream answers at the address. */
-    Replaced = "replaced",
+    /** Nothing was sent, or another upstream answered, which says nothing of this one's health. */
+    Excluded = "excluded",
 }
 
 /** Suspension after the first unreachable result; doubles with each consecutive one. */
@@ -26,8 +26,6 @@
 const RESULT_HALF_LIFE_MS = 10_000;
 /** Weight of the newest sample in the moving average of the slowness. */
 const SLOWNESS_SMOOTHING_FACTOR = 0.2;
-/** How long nothing is sent to an incarnation that was replaced: its registration lapses after three heartbeats. */
-const REPLACED_EXCLUSION_MS = 4_000;
 /** How long other upstreams are preferred after a refusal for lack of capacity. */
 const FULL_BACKOFF_MS = 150;
 
@@ -40,14 +38,12 @@
     private consecutiveUnreachable = 0;
     private suspendedUntil: decision.Milliseconds = -Infinity;
     private fullUntil: decision.Milliseconds = -Infinity;
-    private replacedUntil: decision.Milliseconds = -Infinity;
     private slowness = 1;
     /** Number of sends in flight. */
     inFlight = 0;
 
     record(result: SendResult, now: decision.Milliseconds): void {
-        if (result === SendResult.Replaced) {
-            this.replacedUntil = now + REPLACED_EXCLUSION_MS;
+        if (result === SendResult.Excluded) {
             return;
         }
         const failed = result === SendResult.Failed || result === SendResult.Unreachable;
@@ -98,11 +94,6 @@
         return now < this.suspendedUntil || (this.consecutiveUnreachable > 0 && this.inFlight > 0);
     }
 
-    /** Whether another incarnation or upstream has answered at the address, whatever the directory still says. */
-    isReplaced(now: decision.Milliseconds): boolean {
-        return now < this.replacedUntil;
-    }
-
     /** Whether the upstream recently refused a send for lack of capacity. */
     isFull(now: decision.Milliseconds): boolean {
         return now < this.fullUntil;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./budget.js";
 export * from "./crashes.js";
 export * from "./forecast.js";
+export * from "./gate.js";
 export * from "./headroom.js";
 export * from "./health.js";
 export * from "./limits.js";
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -14,6 +14,7 @@
 import type * as settings from "./settings.js";
 import type * as views from "./store/view.js";
 import type * as agents from "./upstream/agent.js";
+import type * as notices from "./upstream/notices.js";
 import type * as pools from "./upstream/pool.js";
 import type * as wires from "./wire.js";
 
@@ -29,6 +30,7 @@
     readonly wireFormat: wires.WireFormat;
     readonly agent: agents.UpstreamAgent;
     readonly pool: pools.UpstreamPool;
+    readonly notices: notices.UpstreamNotices;
     readonly storeView: views.StoreView;
     readonly peers: peers.Peers;
     readonly retryBudget: dispatch.RetryBudget;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -21,6 +21,8 @@
     /** Requests that are identical, or that share a part of the prompt, crash upstreams. */
     ContentBarred = "contentBarred",
     NoUpstream = "noUpstream",
+    /** Each upstream leaves, or wants nothing for longer than the request can wait. */
+    UpstreamsAway = "upstreamsAway",
     /** This host cannot reach any upstream of the service. */
     Unreachable = "unreachable",
     /** The software version that began a resumed stream is not known, or has no upstream. */
@@ -55,6 +57,8 @@
 /** Margin before the caller's deadline, for the network delay to the caller and a timer that fires late. */
 const RESPONSE_MARGIN_MS = 25;
 
+/** Time by which callers are spread that come back once an upstream takes requests again. */
+const RETURN_SPREAD_MS = 400;
 /** Retry-After for a request that crashes upstreams. */
 const BARRED_RETRY_AFTER_MS = 60_000;
 
@@ -80,6 +84,8 @@
     /** Number of reservations that engines refused for lack of capacity. */
     refusedReservations = 0;
     relayedEvents = 0;
+    /** Incarnation of the upstream whose latest answer says that it leaves. */
+    leavingUpstream: string | undefined;
     /** Number of sends that reached an upstream, without the first prefill that one accepted. */
     arrivals = 0;
     /** Whether an upstream accepted a prefill for it. */
@@ -253,7 +259,10 @@
             this.response.useChunkedEncodingByDefault = false;
             this.response.shouldKeepAlive = false;
         }
-        this.response.writeHead(status, headers as unknown as http.OutgoingHttpHeader[]);
+        const relayHeaders = this.isRelayed && this.leavingUpstream !== undefined
+            ? envelopes.leavingHeaders(this.leavingUpstream)
+            : [];
+        this.response.writeHead(status, [...headers, ...relayHeaders] as unknown as http.OutgoingHttpHeader[]);
     }
 
     /** Ends a response that was relayed completely. */
@@ -324,6 +333,19 @@
         this.context.sendRefusal(this.response, this.metadata.requestId, refusal);
     }
 
+    /** Refuses the request while each upstream leaves or wants nothing. `leavingRetryAfterMs` is told if all of them leave. */
+    refuseWhileAway(leavingRetryAfterMs: decision.Milliseconds): void {
+        const { clock, pool, random } = this.context;
+        const returnsInMs = pool.returnsInMs(this.service, clock(), () => true) ?? Infinity;
+        this.refuse({
+            status: this.mayHaveRun ? 502 : 503,
+            reason: FinalReason.UpstreamsAway,
+            retryAfterMs: Number.isFinite(returnsInMs)
+                ? returnsInMs + RETURN_SPREAD_MS * random()
+                : leavingRetryAfterMs,
+        });
+    }
+
     private elapsedMs(): number {
         return Math.round(this.context.clock() - this.startedAt);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import type * as settings from "./settings.js";
 import * as views from "./store/view.js";
 import * as agents from "./upstream/agent.js";
+import * as notices from "./upstream/notices.js";
 import * as pools from "./upstream/pool.js";
 import type * as wires from "./wire.js";
 
@@ -76,7 +77,7 @@
     let current = settings;
     const scope = new lifecycle.Scope("gateway");
     const clock = lifecycle.monotonicClock;
-    const gatewayMetrics = metrics.makeGatewayMetrics();
+    const gatewayMetrics = metrics.makeGatewayMetrics((reason) => pool.countExcluded(reason, clock()));
     const identity = { host: settings.host, availabilityZone: settings.availabilityZone, pid: process.pid };
     const log = logs.makeDecisionLog(identity, clock, () => gatewayMetrics.droppedLogLines.inc());
     const agent = new agents.UpstreamAgent(() => gatewayMetrics.connections.inc());
@@ -142,6 +143,7 @@
         wireFormat,
         agent,
         pool,
+        notices: new notices.UpstreamNotices({ clock, log, pool, random }),
         storeView,
         peers: peerChannel,
         retryBudget: new dispatch.RetryBudget(() => current.retries),
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -1,3 +1,5 @@
+import * as envelopes from "./relay/envelope.js";
+
 /** Hop-by-hop headers, and those that are set anew for each message, in lower case. */
 const CONNECTION_HEADERS = new Set([
     "connection",
@@ -33,10 +35,8 @@
     return kept;
 }
 
-const NO_HEADERS: ReadonlySet<string> = new Set();
-
 /** The headers of an upstream's response to send to the caller, with a Content-Length if the length is given. */
 export function responseHeaders(raw: readonly string[], length: number | undefined): string[] {
-    const kept = endToEndHeaders(raw, NO_HEADERS);
+    const kept = endToEndHeaders(raw, envelopes.RELAY_HEADERS);
     return length === undefined ? kept : [...kept, "Content-Length", String(length)];
 }
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -2,6 +2,7 @@
 import type * as contexts from "./context.js";
 import * as sends from "./send.js";
 import * as calls from "./upstream/call.js";
+import * as notices from "./upstream/notices.js";
 
 /** Time to wait for a response. Sound engines may be silent for a second; callers wait at least two for an event. */
 const RESPONSE_TIMEOUT_MS = 1_600;
@@ -53,12 +54,16 @@
     { path, silentIsRunning }: Probe,
 ): Promise<boolean | undefined> {
     const call = { method: "GET", path, body: undefined };
-    const outcome = await sends.startControlCall(context, upstream, call, RESPONSE_TIMEOUT_MS);
+    const outcome = await sends.startControlCall(context, upstream, call, {
+        name: "probe",
+        purpose: sends.ControlPurpose.Aftercare,
+        timeoutMs: RESPONSE_TIMEOUT_MS,
+    });
     if (outcome.progress !== calls.CallProgress.Responded) {
         const isSilent = outcome.progress === calls.CallProgress.NoResponse
             && outcome.failure === calls.CallFailure.TimedOut;
         return isSilent ? silentIsRunning : undefined;
     }
     await calls.readBody(outcome.response, RESPONSE_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
-    return outcome.response.statusCode !== 421;
+    return outcome.response.statusCode !== notices.WRONG_UPSTREAM_STATUS;
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,3 +1,4 @@
+import * as dispatch from "@citronlead/dispatch";
 import * as promClient from "prom-client";
 
 /** Metrics of a gateway. Times are in seconds. */
@@ -17,7 +18,8 @@
 /** Buckets of the latency histograms: latency targets are tenths of a second, and deadlines are some seconds. */
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.9, 1.5, 3, 6, 14];
 
-export function makeGatewayMetrics(): GatewayMetrics {
+/** Makes the metrics; `countExcluded` counts the upstreams to which this host sends nothing for a reason. */
+export function makeGatewayMetrics(countExcluded: (reason: dispatch.Exclusion) => number): GatewayMetrics {
     const registry = new promClient.Registry();
     const registers = [registry];
     const counter = <Label extends string>(name: string, help: string, labelNames: readonly Label[]) =>
@@ -30,6 +32,14 @@
             buckets: LATENCY_BUCKETS_SECONDS,
             registers,
         });
+    const excluded = new promClient.Gauge({
+        name: "citronlead_gateway_excluded_upstreams",
+        help: "Upstreams to which nothing is sent now, by reason.",
+        labelNames: ["reason"] as const,
+        registers,
+        collect: () =>
+            Object.values(dispatch.Exclusion).forEach((reason) => excluded.set({ reason }, countExcluded(reason))),
+    });
     return {
         registry,
         requests: counter("citronlead_gateway_requests_total", "Requests by outcome.", ["service", "outcome"]),
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -137,7 +137,7 @@
                 }
                 return undefined;
             }
-            if (!this.context.pool.acceptsWork(candidate.upstream)) {
+            if (!this.context.pool.acceptsWork(candidate.upstream, this.context.clock())) {
                 return this.abandonDrainingEngine(exchange, reservation, prefill);
             }
             return await this.decode(exchange, reservation, prefill, progress);
@@ -282,6 +282,10 @@
     }
 
     private refuseForCapacity(exchange: exchanges.Exchange, failure: reservations.ReservationFailure): void {
+        if (failure === reservations.ReservationFailure.Away) {
+            exchange.refuseWhileAway(this.noEngineRetryAfterMs());
+            return;
+        }
         const retryAfterMs = failure === reservations.ReservationFailure.NoEngine
             ? this.noEngineRetryAfterMs()
             : this.queueOf(exchange.service).retryAfterMs(this.context.random());
--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -156,6 +156,11 @@
         exchange,
         prefill.candidate,
         call.path,
-        () => sends.callEngine(exchange.context, prefill.candidate, call, RELEASE_TIMEOUT_MS),
+        () =>
+            sends.callEngine(exchange.context, prefill.candidate, call, {
+                name: "release prefill",
+                purpose: sends.ControlPurpose.Aftercare,
+                timeoutMs: RELEASE_TIMEOUT_MS,
+            }),
     );
 }
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -30,6 +30,8 @@
     Full = "full",
     /** No engine is available. */
     NoEngine = "noEngine",
+    /** Each engine leaves, or wants nothing for longer than the request can wait. */
+    Away = "away",
     /** The wait expired, or the request ended. */
     GivenUp = "givenUp",
 }
@@ -63,6 +65,9 @@
                 served = true;
                 return reservation;
             }
+            if (reservation === ReservationFailure.Away) {
+                return reservation;
+            }
             if (exchange.context.reachability.stateOf(exchange.service) !== dispatch.Reachability.Reachable) {
                 return ReservationFailure.NoEngine;
             }
@@ -84,10 +89,27 @@
     return ranking.rankUpstreams(
         exchange,
         { availabilityZone, crossZonePenalty: CROSS_ZONE_PENALTY },
-        (upstream) => upstream.stage !== routing.EngineStage.Prefill && isEligible(upstream),
+        (upstream) => canDecode(upstream) && isEligible(upstream),
     );
 }
 
+function canDecode({ stage }: routing.Upstream): boolean {
+    return stage !== routing.EngineStage.Prefill;
+}
+
+/** Why no engine can be asked now: a request that can wait for one that is excluded waits as if all were full. */
+function failureWithoutEngines(exchange: exchanges.Exchange, isEligible: EngineFilter): ReservationFailure {
+    const { clock, pool } = exchange.context;
+    const now = clock();
+    const isCandidate = (upstream: routing.Upstream) => canDecode(upstream) && isEligible(upstream);
+    const returnsInMs = pool.returnsInMs(exchange.service, now, isCandidate);
+    if (returnsInMs === undefined) {
+        return ReservationFailure.NoEngine;
+    }
+    const next = dispatch.decideWhileAway(returnsInMs, exchange.latencyTargetAt - now, exchange.remainingMs);
+    return next === dispatch.AwayDecision.Wait ? ReservationFailure.Full : ReservationFailure.Away;
+}
+
 async function tryReserve(
     exchange: exchanges.Exchange,
     queue: queues.CapacityQueue,
@@ -98,7 +120,7 @@
     const maxReservationMs = context.storeView.activeConfiguration()?.table.serviceByName.get(exchange.service)?.engine
         ?.maxReservationMs;
     if (engines.length === 0) {
-        return ReservationFailure.NoEngine;
+        return failureWithoutEngines(exchange, isEligible);
     }
     if (maxReservationMs === undefined) {
         const { candidate } = await context.limits.firstPermitted(engines);
@@ -158,7 +180,14 @@
     const { context } = exchange;
     const startedAt = context.clock();
     const call = context.wireFormat.reserveCall(tokens, timeToLiveMs);
-    const outcome = await sends.callEngine(context, candidate, call, RESERVE_TIMEOUT_MS);
+    if (context.pool.exclusionOf(candidate.upstream, startedAt) !== undefined) {
+        return undefined;
+    }
+    const outcome = await sends.callEngine(context, candidate, call, {
+        name: "reserve",
+        purpose: sends.ControlPurpose.Work,
+        timeoutMs: RESERVE_TIMEOUT_MS,
+    });
     const now = context.clock();
     if (outcome.effect !== decision.Effect.Known) {
         candidate.health.record(dispatch.SendResult.Unreachable, now);
@@ -174,7 +203,12 @@
         return undefined;
     }
     exchange.recordCall("reserve", candidate.upstream, "held", startedAt);
-    return { candidate, id };
+    const reservation = { candidate, id };
+    if (!context.pool.acceptsWork(candidate.upstream, now)) {
+        releaseReservation(exchange, reservation);
+        return undefined;
+    }
+    return reservation;
 }
 
 /** Releases a reservation that will not be used. */
@@ -185,7 +219,12 @@
             exchange,
             reservation.candidate,
             call.path,
-            () => sends.callEngine(exchange.context, reservation.candidate, call, RESERVE_TIMEOUT_MS),
+            () =>
+                sends.callEngine(exchange.context, reservation.candidate, call, {
+                    name: "release reservation",
+                    purpose: sends.ControlPurpose.Aftercare,
+                    timeoutMs: RESERVE_TIMEOUT_MS,
+                }),
         );
     }
 }
--- a/packages/gateway/src/model/stages.ts
+++ b/packages/gateway/src/model/stages.ts
@@ -138,7 +138,11 @@
             // An incarnation accepts one order in all, also if this one arrives late or another host has sent one.
             expectedOrders: 0,
         });
-        const outcome = await sends.callEngine(this.context, candidate, call, ORDER_TIMEOUT_MS);
+        const outcome = await sends.callEngine(this.context, candidate, call, {
+            name: "order",
+            purpose: sends.ControlPurpose.Work,
+            timeoutMs: ORDER_TIMEOUT_MS,
+        });
         log.notice("stage ordered", {
             service,
             upstream: upstream.id,
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -1,5 +1,6 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
+import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import * as exchanges from "./exchange.js";
 import * as headers from "./headers.js";
@@ -18,6 +19,8 @@
 const CROSS_ZONE_PENALTY = 1;
 /** Mean Retry-After when no upstream could be reached: crashed upstreams restart within seconds. */
 const UNAVAILABLE_RETRY_AFTER_MS = 800;
+/** Time by which requests are spread that wait for the same upstream. */
+const RETURN_SPREAD_MS = 100;
 /** Minimum time left for another send to be worthwhile. */
 const MIN_REMAINING_MS = 30;
 
@@ -35,6 +38,12 @@
         if (exchange.isOver) {
             return;
         }
+        if (!choice.candidate && await waitForReturn(exchange)) {
+            if (!exchange.mayHaveRun) {
+                tried.clear();
+            }
+            continue;
+        }
         if (!choice.candidate) {
             limitedForMs = Number.isFinite(choice.waitMs) ? choice.waitMs : undefined;
             break;
@@ -74,6 +83,22 @@
     }
 }
 
+/** Waits for the first upstream that takes requests again, if all are excluded and the request can wait. */
+async function waitForReturn({ context, service, latencyTargetAt, remainingMs }: exchanges.Exchange): Promise<boolean> {
+    const { clock, pool, random, scope } = context;
+    const now = clock();
+    const returnsInMs = pool.returnsInMs(service, now, () => true);
+    if (returnsInMs === undefined || returnsInMs === 0) {
+        return false;
+    }
+    const waitMs = returnsInMs + RETURN_SPREAD_MS * random();
+    if (dispatch.decideWhileAway(waitMs, latencyTargetAt - now, remainingMs) === dispatch.AwayDecision.Refuse) {
+        return false;
+    }
+    await lifecycle.pause(scope, waitMs);
+    return true;
+}
+
 function attemptTimeoutMs(exchange: exchanges.Exchange): decision.Milliseconds {
     const waitMs = exchange.route.latencyTargetMs * ATTEMPT_TIMEOUT_SHARE;
     return Math.min(waitMs, exchange.remainingMs / 2);
@@ -166,7 +191,12 @@
         exchange.refuse({ status: 502, reason: exchanges.FinalReason.ResponseLost });
         return;
     }
+    const { clock, pool } = exchange.context;
     const jitter = 0.5 + exchange.context.random();
+    if (pool.returnsInMs(exchange.service, clock(), () => true) !== undefined) {
+        exchange.refuseWhileAway(UNAVAILABLE_RETRY_AFTER_MS * jitter);
+        return;
+    }
     if (limitedForMs !== undefined) {
         exchange.refuse({
             status: 503,
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -88,6 +88,11 @@
                 return RelayAnswer.Final;
             }
             const { response } = outcome;
+            const leaving = envelopes.parseLeaving(response.headers);
+            if (leaving !== undefined) {
+                const { requestId } = exchange.metadata;
+                context.notices.observeRelayed(leaving, { call: `relay by ${host}`, requestId });
+            }
             const refusal = envelopes.parseRefusal(response.headers);
             exchange.recordRelay(host, `${response.statusCode} ${refusal?.reason ?? ""}`.trimEnd(), startedAt);
             if (!UNABLE_REASONS.has(refusal?.reason ?? "")) {
--- a/packages/gateway/src/relay/envelope.ts
+++ b/packages/gateway/src/relay/envelope.ts
@@ -8,8 +8,11 @@
 /** From the host that serves a relayed request: why it refused it, and Retry-After. Absent from responses of upstreams. */
 const REFUSAL_HEADER = "citronlead-relay-refusal";
 
+/** From the host that serves a relayed request: incarnation of the upstream whose answer says that it leaves. */
+const LEAVING_HEADER = "citronlead-relay-leaving";
+
 /** Headers that only hosts may set on what they send each other. */
-export const RELAY_HEADERS: ReadonlySet<string> = new Set([REQUEST_HEADER, REFUSAL_HEADER]);
+export const RELAY_HEADERS: ReadonlySet<string> = new Set([REQUEST_HEADER, REFUSAL_HEADER, LEAVING_HEADER]);
 
 /** Why the serving host refused a relayed request. */
 export interface RelayedRefusal {
@@ -54,6 +57,17 @@
     return relayedRequests.has(request) ? [REFUSAL_HEADER, JSON.stringify({ reason, retryAfterMs })] : [];
 }
 
+/** Headers that tell the host that relayed a request that the upstream leaves. They concern one connection. */
+export function leavingHeaders(incarnation: string): string[] {
+    return ["Connection", `close, ${LEAVING_HEADER}`, LEAVING_HEADER, incarnation];
+}
+
+/** Incarnation of the upstream that leaves, by the host that served a relayed request. */
+export function parseLeaving(headers: http.IncomingHttpHeaders): string | undefined {
+    const value = headers[LEAVING_HEADER];
+    return typeof value === "string" ? value : undefined;
+}
+
 const refusalSchema = zod.object({ reason: zod.string(), retryAfterMs: durationMs.optional() });
 
 /** Why the serving host refused a relayed request; undefined if the response is an upstream's. */
--- a/packages/gateway/src/relay/reachability.ts
+++ b/packages/gateway/src/relay/reachability.ts
@@ -12,6 +12,7 @@
 /** Failures of calls that say nothing of the upstream. */
 const SILENT_FAILURES: ReadonlySet<calls.CallFailure> = new Set([
     calls.CallFailure.Aborted,
+    calls.CallFailure.Excluded,
     calls.CallFailure.Unwritable,
 ]);
 /** Interval between the rounds of probes of a service that cannot be reached. */
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -6,6 +6,7 @@
 import type * as exchanges from "./exchange.js";
 import * as json from "./json.js";
 import * as calls from "./upstream/call.js";
+import * as notices from "./upstream/notices.js";
 import type * as wires from "./wire.js";
 
 /** Options of a send. */
@@ -62,6 +63,11 @@
 ): Promise<SendOutcome> {
     const { context, request, metadata } = exchange;
     const startedAt = context.clock();
+    const exclusion = context.pool.exclusionOf(upstream, startedAt);
+    if (exclusion !== undefined) {
+        exchange.recordCall(options.call, upstream, `not sent: ${exclusion}`, startedAt);
+        return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason: exclusion };
+    }
     exchange.beginCall(options.call, upstream);
     const forwarding: wires.ForwardingMetadata = {
         expectedUpstream: upstream.id,
@@ -93,7 +99,7 @@
         signal: exchange.signal,
     });
     context.reachability.record(upstream, outcome);
-    const sent = await classifyOutcome(exchange, upstream, outcome, startedAt);
+    const sent = await classifyOutcome(exchange, upstream, outcome, options.call, startedAt);
     const acceptedPrefill = options.prefillOnly && sent.kind === SendKind.Response && sent.response.statusCode === 200;
     if (acceptedPrefill && !exchange.hasPrefill) {
         exchange.hasPrefill = true;
@@ -115,6 +121,7 @@
     exchange: exchanges.Exchange,
     upstream: routing.Upstream,
     outcome: calls.CallOutcome,
+    call: string,
     sentAt: decision.Milliseconds,
 ): Promise<SendOutcome> {
     if (outcome.progress !== calls.CallProgress.Responded) {
@@ -124,7 +131,11 @@
     }
     const { response } = outcome;
     const metadata = exchange.context.wireFormat.parseResponse(response.headers);
-    const wrongUpstream = response.statusCode === 421;
+    exchange.context.notices.observe(upstream, response, metadata, { call, requestId: exchange.metadata.requestId });
+    if (metadata.leaving) {
+        exchange.leavingUpstream = routing.incarnationOf(upstream);
+    }
+    const wrongUpstream = response.statusCode === notices.WRONG_UPSTREAM_STATUS;
     // A refusal may leave out the limit.
     if (!wrongUpstream && (metadata.limitPerSecond !== undefined || !metadata.notRun)) {
         exchange.context.limits.observe(upstream, metadata.limitPerSecond, sentAt);
@@ -133,7 +144,7 @@
         await calls.readBody(response, REFUSAL_BODY_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
         return {
             kind: SendKind.NotRun,
-            result: wrongUpstream ? dispatch.SendResult.Replaced : dispatch.SendResult.Full,
+            result: wrongUpstream ? dispatch.SendResult.Excluded : dispatch.SendResult.Full,
             reason: `${wrongUpstream ? "another upstream" : "refused"} ${response.statusCode}`,
         };
     }
@@ -162,13 +173,37 @@
 /** The response to a control call: its status and parsed body. */
 export type ControlOutcome = decision.Outcome<{ readonly status: number; readonly body: unknown; }>;
 
+/** What a control call is for. */
+export enum ControlPurpose {
+    /** New work, such as a reservation; none is sent to an excluded upstream. */
+    Work = "work",
+    /** Concerns work that was sent before; sent unless the upstream wants nothing at all. */
+    Aftercare = "aftercare",
+}
+
+/** How a control call is made. */
+export interface ControlOptions {
+    /** Name of the call in logs. */
+    readonly name: string;
+    readonly purpose: ControlPurpose;
+    readonly timeoutMs: decision.Milliseconds;
+}
+
 /** Starts a control call to an upstream, such as a reservation; its response belongs to no request. */
 export async function startControlCall(
     context: contexts.GatewayContext,
     upstream: routing.Upstream,
     call: wires.EngineCall,
-    timeoutMs: decision.Milliseconds,
+    { name, purpose, timeoutMs }: ControlOptions,
 ): Promise<calls.CallOutcome> {
+    const exclusion = context.pool.exclusionOf(upstream, context.clock());
+    if (exclusion === dispatch.Exclusion.Waiting || (exclusion && purpose === ControlPurpose.Work)) {
+        return {
+            progress: calls.CallProgress.NotSent,
+            failure: calls.CallFailure.Excluded,
+            reason: `not sent: ${exclusion}`,
+        };
+    }
     const body = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
     const outcome = await calls.startCall(context.agent, {
         address: upstream.address,
@@ -190,6 +225,10 @@
         signal: undefined,
     });
     context.reachability.record(upstream, outcome);
+    if (outcome.progress === calls.CallProgress.Responded) {
+        const metadata = context.wireFormat.parseResponse(outcome.response.headers);
+        context.notices.observe(upstream, outcome.response, metadata, { call: name, requestId: undefined });
+    }
     return outcome;
 }
 
@@ -198,15 +237,15 @@
     context: contexts.GatewayContext,
     { upstream }: dispatch.Candidate,
     call: wires.EngineCall,
-    timeoutMs: decision.Milliseconds,
+    options: ControlOptions,
 ): Promise<ControlOutcome> {
-    const outcome = await startControlCall(context, upstream, call, timeoutMs);
+    const outcome = await startControlCall(context, upstream, call, options);
     if (outcome.progress !== calls.CallProgress.Responded) {
         return outcome.progress === calls.CallProgress.NotSent
             ? decision.noEffect(outcome.reason)
             : decision.unknownEffect(outcome.reason);
     }
-    const bytes = await calls.readBody(outcome.response, timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
+    const bytes = await calls.readBody(outcome.response, options.timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
     if (!bytes) {
         return decision.unknownEffect("answer broken off");
     }
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -45,6 +45,8 @@
     Aborted = "aborted",
     /** The upstream sent what is no head of a response, or a response that answers another call. */
     Malformed = "malformed",
+    /** The upstream has said that nothing is to be sent to it, so that nothing was. */
+    Excluded = "excluded",
     /** The request cannot be written, which says nothing of the upstream. */
     Unwritable = "unwritable",
 }
--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -5,6 +5,7 @@
 /** The upstreams in the directory, with the health of each incarnation as this host has observed it. */
 export class UpstreamPool {
     private readonly health = new Map<string, dispatch.UpstreamHealth>();
+    private readonly gates = new Map<string, dispatch.SendGate>();
     private directory: routing.Directory = routing.emptyDirectory;
     private onUpdate: () => void = () => undefined;
 
@@ -29,10 +30,17 @@
 
     /** Replaces the directory and forgets the incarnations that are no longer in it and have no sends in flight. */
     update(directory: routing.Directory): void {
+        const former = this.directory;
         this.directory = directory;
         const listed = new Set<string>();
         for (const { upstream } of directory.entries.values()) {
-            listed.add(routing.incarnationOf(upstream));
+            const incarnation = routing.incarnationOf(upstream);
+            listed.add(incarnation);
+            // Registrations are counted anew by one that has started again and does not tell when.
+            const before = former.entries.get(upstream.id)?.upstream.registrationNumber ?? -Infinity;
+            if ((upstream.registrationNumber ?? Infinity) < before) {
+                this.gates.delete(incarnation);
+            }
         }
         for (const [incarnation, health] of this.health) {
             if (!listed.has(incarnation) && health.inFlight === 0) {
@@ -40,6 +48,11 @@
                 this.onIncarnationGone(incarnation);
             }
         }
+        for (const incarnation of this.gates.keys()) {
+            if (!listed.has(incarnation) && !this.health.has(incarnation)) {
+                this.gates.delete(incarnation);
+            }
+        }
         this.onUpdate();
     }
 
@@ -48,17 +61,63 @@
         return this.directory.listedAt === undefined ? Infinity : now - this.directory.listedAt;
     }
 
-    /** The upstreams of a service that accept new work. */
+    /** The upstreams of a service that accept new work, and that this host may send to now. */
     candidates(service: string, now: decision.Milliseconds): dispatch.Candidate[] {
         return routing.acceptingUpstreams(this.directory, service)
-            .map((upstream) => ({ upstream, health: this.healthOf(upstream) }))
-            .filter(({ health }) => !health.isReplaced(now));
+            .filter((upstream) => this.exclusionOf(upstream, now) === undefined)
+            .map((upstream) => ({ upstream, health: this.healthOf(upstream) }));
+    }
+
+    /**
+     * Time until this host may send to an upstream of a service again, if some accept work and all of them are excluded;
+     * infinite if all leave, undefined if one is not excluded or none accepts work.
+     */
+    returnsInMs(
+        service: string,
+        now: decision.Milliseconds,
+        isEligible: (upstream: routing.Upstream) => boolean,
+    ): decision.Milliseconds | undefined {
+        const accepting = routing.acceptingUpstreams(this.directory, service).filter(isEligible);
+        if (accepting.length === 0 || accepting.some((upstream) => this.exclusionOf(upstream, now) === undefined)) {
+            return undefined;
+        }
+        return Math.min(...accepting.map((upstream) => this.gateOf(upstream).returnsInMs(now)));
     }
 
-    /** Whether this incarnation of an upstream still accepts new work. */
-    acceptsWork(upstream: routing.Upstream): boolean {
+    /** Whether this incarnation of an upstream still accepts new work, and this host may send to it now. */
+    acceptsWork(upstream: routing.Upstream, now: decision.Milliseconds): boolean {
         const known = this.directory.entries.get(upstream.id)?.upstream;
-        return known?.state === routing.UpstreamState.Ready && known.startedAt === upstream.startedAt;
+        return known?.state === routing.UpstreamState.Ready && known.startedAt === upstream.startedAt
+            && this.exclusionOf(upstream, now) === undefined;
+    }
+
+    /** What upstreams have said about sends to them. */
+    gateOf(upstream: routing.Upstream): dispatch.SendGate {
+        const incarnation = routing.incarnationOf(upstream);
+        const known = this.gates.get(incarnation) ?? new dispatch.SendGate();
+        this.gates.set(incarnation, known);
+        return known;
+    }
+
+    /** Why this host sends nothing to an upstream now; undefined if it may. */
+    exclusionOf(upstream: routing.Upstream, now: decision.Milliseconds): dispatch.Exclusion | undefined {
+        return this.gates.get(routing.incarnationOf(upstream))?.exclusion(now);
+    }
+
+    /** Number of listed upstreams that are excluded for the reason. */
+    countExcluded(reason: dispatch.Exclusion, now: decision.Milliseconds): number {
+        return [...this.directory.entries.values()]
+            .filter(({ upstream }) => this.exclusionOf(upstream, now) === reason).length;
+    }
+
+    /** The listed upstream of an incarnation. */
+    find(incarnation: string): routing.Upstream | undefined {
+        for (const { upstream } of this.directory.entries.values()) {
+            if (routing.incarnationOf(upstream) === incarnation) {
+                return upstream;
+            }
+        }
+        return undefined;
     }
 
     /** Whether any upstream of any service accepts new work. */
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -45,6 +45,12 @@
     readonly notRun: boolean;
     /** Requests per second that the upstream takes from all hosts together while it says so. */
     readonly limitPerSecond: number | undefined;
+    /** Whether the upstream says that it leaves. */
+    readonly leaving: boolean;
+    /** Time in which the upstream wants nothing from this host, if it turns a request away; undefined if it names none. */
+    readonly retryAfterMs: decision.Milliseconds | undefined;
+    /** Notices about the upstream that mean nothing, each as name and value. */
+    readonly unreadableNotices: readonly string[];
 }
 
 /** A control call to an engine, such as a reservation. The body is sent as JSON. */
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -55,6 +55,9 @@
         signed: headers["signature"] !== undefined,
         notRun: headers["not-run"] !== undefined,
         limitPerSecond: numeric(headers["limit"]),
+        leaving: headers["leaving"] === "1",
+        retryAfterMs: headers["retry-after"] === undefined ? undefined : 1_000 * Number(headers["retry-after"]),
+        unreadableNotices: [],
     }),
     refusalHeaders: (requestId, retryAfterMs) => [
         ...(requestId === undefined ? [] : ["request-id", requestId]),
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -45,7 +45,7 @@
             scope: this.scope,
             clock,
             log,
-            metrics: metrics.makeGatewayMetrics(),
+            metrics: metrics.makeGatewayMetrics(() => 0),
             pool: new pools.UpstreamPool(() => undefined),
             quarantine: new quarantines.Quarantine(clock, log, () => 0.5),
             host: "host",
--- a/packages/routing/src/upstream.ts
+++ b/packages/routing/src/upstream.ts
@@ -30,6 +30,8 @@
     readonly softwareVersion: string;
     /** Start of this incarnation, in Unix milliseconds; 0 if the upstream does not report it. */
     readonly startedAt: number;
+    /** Number of this registration within the incarnation, counted upwards; undefined if the upstream does not count. */
+    readonly registrationNumber?: number | undefined;
     /** Time until it reaches full speed after its start. */
     readonly warmUpLeftMs: decision.Milliseconds;
 }
