One token bucket for log lines and pieces of streams

TokenBucket (packages/decision) serves both now; the refill and the bounds (600 lines and 150 a second; 16,384 pieces and 2,000 a second) are as they were.

--- a/packages/bodies/src/index.ts
+++ b/packages/bodies/src/index.ts
@@ -1,4 +1,3 @@
-/** Bodies and streams of peers that may be faulty, held within bounds of bytes, pieces and time. */
+/** Bodies and streams of peers that may be faulty, held within bounds of bytes and pieces. */
 export * from "./collector.js";
 export * from "./incomplete.js";
-export * from "./pieces.js";
--- a/packages/bodies/test/bodies.test.ts
+++ b/packages/bodies/test/bodies.test.ts
@@ -63,16 +63,3 @@
         chai.expect(performance.now() - startedAt).to.be.below(5_000);
     });
 });
-
-describe("PieceBudget", () => {
-    it("allows a burst, and the rate in the long run", () => {
-        const budget = new bodies.PieceBudget({ burst: 10, perSecond: 100 }, 0);
-        let allowed = 0;
-        for (let now = 0; now <= 1_000; now++) {
-            for (let count = 0; count < 5; count++) {
-                allowed += budget.tryTake(now) ? 1 : 0;
-            }
-        }
-        chai.expect(allowed).to.be.within(100, 110);
-    });
-});
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -7,4 +7,5 @@
 export * from "./outcome.js";
 export * from "./random.js";
 export * from "./time.js";
+export * from "./tokenbucket.js";
 export * from "./transition.js";
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -1,4 +1,4 @@
-import type * as decision from "@citronlead/decision";
+import * as decision from "@citronlead/decision";
 import * as pino from "pino";
 
 /** Size of the buffer of unwritten log lines; beyond it lines are dropped. */
@@ -7,10 +7,8 @@
 const WRITE_BYTES = 4_096;
 /** Interval at which buffered lines are written. */
 const FLUSH_PERIOD_MS = 500;
-/** Average rate of lines: enough for three lines per request at 50 requests per second on one host. */
-const LINES_PER_SECOND = 150;
-/** Maximum number of lines that may be written in a burst. */
-const BURST_LINES = 600;
+/** Rate of lines: enough for three lines per request at 50 requests per second on one host. */
+const LINE_RATE: decision.TokenRate = { burst: 600, perSecond: 150 };
 
 /** Log of JSON lines. */
 export interface DecisionLog {
@@ -41,9 +39,9 @@
     destination.on("error", onDropped);
     destination.on("drop", onDropped);
     const logger = pino.pino({ base: identity, timestamp: pino.stdTimeFunctions.isoTime }, destination);
-    const allow = makeLineLimiter(clock);
+    const lines = new decision.TokenBucket(LINE_RATE, clock());
     const logLimited = (event: string, fields: Record<string, unknown>) => {
-        if (allow()) {
+        if (lines.tryTake(clock())) {
             logger.info(fields, event);
         }
         else {
@@ -58,19 +56,3 @@
         flush: () => destination.flush(),
     };
 }
-
-/** Token bucket for log lines; the returned function says whether a line may be written now. */
-export function makeLineLimiter(clock: decision.Clock): () => boolean {
-    let availableLines = BURST_LINES;
-    let refilledAt = clock();
-    return () => {
-        const now = clock();
-        availableLines = Math.min(BURST_LINES, availableLines + (now - refilledAt) / 1_000 * LINES_PER_SECOND);
-        refilledAt = now;
-        if (availableLines < 1) {
-            return false;
-        }
-        availableLines--;
-        return true;
-    };
-}
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -1,5 +1,5 @@
 import * as bodies from "@citronlead/bodies";
-import type * as decision from "@citronlead/decision";
+import * as decision from "@citronlead/decision";
 import type * as http from "node:http";
 import * as background from "../background.js";
 import * as exchanges from "../exchange.js";
@@ -31,7 +31,7 @@
 /** Maximum number of pieces of an incomplete event. */
 const MAX_EVENT_PIECES = MAX_EVENT_BYTES / bodies.PIECE_OVERHEAD_BYTES;
 /** Pieces of a stream: far more than any engine writes, and what a stream may have waiting after a pause of this process. */
-export const STREAM_PIECES: bodies.PieceRate = { burst: 16_384, perSecond: 2_000 };
+export const STREAM_PIECES: decision.TokenRate = { burst: 16_384, perSecond: 2_000 };
 
 /**
  * Relays complete events as they arrive, until the stream ends, breaks or is silent for `silenceMs`. `confirmEnd` says
@@ -48,7 +48,7 @@
     const { context, response } = exchange;
     const splitter = new events.EventSplitter();
     const eventsBefore = exchange.relayedEvents;
-    const pieces = new bodies.PieceBudget(STREAM_PIECES, context.clock());
+    const pieces = new decision.TokenBucket(STREAM_PIECES, context.clock());
     let started = false;
     let outOfBounds = false;
     return new Promise((resolve, reject) => {
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -1,4 +1,4 @@
-import * as bodies from "@citronlead/bodies";
+import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import type * as http from "node:http";
 import * as background from "../background.js";
@@ -134,7 +134,7 @@
 /** Relays an upstream's response that another host has relayed, as it arrives. */
 function relayResponse(exchange: exchanges.Exchange, source: http.IncomingMessage): Promise<void> {
     const { context, response } = exchange;
-    const pieces = new bodies.PieceBudget(streams.STREAM_PIECES, context.clock());
+    const pieces = new decision.TokenBucket(streams.STREAM_PIECES, context.clock());
     const status = source.statusCode ?? 502;
     const length = source.headers["content-length"];
     exchange.beginResponse(
