--- a/packages/gateway/src/relay/envelope.ts
+++ b/packages/gateway/src/relay/envelope.ts
@@ -1,4 +1,4 @@
-import type * as decision from "@citronlead/decision";
+import * as decision from "@citronlead/decision";
 import type * as http from "node:http";
 import * as zod from "zod";
 import * as jsonText from "../json.js";
@@ -28,9 +28,7 @@
     readonly configuration: number;
 }
 
-/** Longest period of a timer of Node. */
-const MAX_DURATION_MS = 2_147_483_647;
-const durationMs = zod.number().min(0).max(MAX_DURATION_MS);
+const durationMs = zod.number().min(0).max(decision.MAX_TIMER_MS);
 const requestSchema = zod.object({ timeLeftMs: durationMs, configuration: zod.number() });
 
 /** The relayed requests that have arrived. */
