Releases of engine memory: one place makes the call

Both callers of releaseInBackground passed a function that wrote the same call to the engine with the same purpose, and its path beside it. It takes the call now. Calls, time limits and log line are as they were; an error that is not expected names its task as the call is named.

--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -152,15 +152,6 @@
 /** Releases a prefill result that no engine will fetch. */
 export function releasePrefill(exchange: exchanges.Exchange, prefill: PrefillResult): void {
     const call = exchange.context.wireFormat.releasePrefillCall(prefill.handle);
-    reservations.releaseInBackground(
-        exchange,
-        prefill.candidate,
-        call.path,
-        () =>
-            sends.callEngine(exchange.context, prefill.candidate, call, {
-                name: "release prefill",
-                purpose: sends.ControlPurpose.Aftercare,
-                timeoutMs: RELEASE_TIMEOUT_MS,
-            }),
-    );
+    const options = { name: "release prefill", timeoutMs: RELEASE_TIMEOUT_MS };
+    reservations.releaseInBackground(exchange, prefill.candidate, call, options);
 }
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -5,6 +5,7 @@
 import type * as exchanges from "../exchange.js";
 import * as sends from "../send.js";
 import * as ranking from "../upstream/ranking.js";
+import type * as wires from "../wire.js";
 import type * as queues from "./queue.js";
 import * as queueing from "./queue.js";
 
@@ -212,38 +213,29 @@
 }
 
 /** Releases a reservation that will not be used. */
-export function releaseReservation(exchange: exchanges.Exchange, reservation: Reservation): void {
-    if (reservation.id !== undefined) {
-        const call = exchange.context.wireFormat.releaseReservationCall(reservation.id);
-        releaseInBackground(
-            exchange,
-            reservation.candidate,
-            call.path,
-            () =>
-                sends.callEngine(exchange.context, reservation.candidate, call, {
-                    name: "release reservation",
-                    purpose: sends.ControlPurpose.Aftercare,
-                    timeoutMs: RESERVE_TIMEOUT_MS,
-                }),
-        );
+export function releaseReservation(exchange: exchanges.Exchange, { candidate, id }: Reservation): void {
+    if (id !== undefined) {
+        const call = exchange.context.wireFormat.releaseReservationCall(id);
+        releaseInBackground(exchange, candidate, call, { name: "release reservation", timeoutMs: RESERVE_TIMEOUT_MS });
     }
 }
 
 /** Releases a resource of an engine without waiting for the call. If the call fails, the resource expires by itself. */
 export function releaseInBackground(
-    exchange: exchanges.Exchange,
+    { context, metadata }: exchanges.Exchange,
     candidate: dispatch.Candidate,
-    resource: string,
-    call: () => Promise<decision.Outcome<unknown>>,
+    call: wires.EngineCall,
+    options: Omit<sends.ControlOptions, "purpose">,
 ): void {
-    const { log } = exchange.context;
-    background.runInBackground(log, "release engine memory", async () => {
-        const outcome = await call();
+    const { log } = context;
+    background.runInBackground(log, options.name, async () => {
+        const purpose = sends.ControlPurpose.Aftercare;
+        const outcome = await sends.callEngine(context, candidate, call, { ...options, purpose });
         if (outcome.effect !== decision.Effect.Known) {
             log.decision("failed to release engine memory", {
-                requestId: exchange.metadata.requestId,
+                requestId: metadata.requestId,
                 upstream: candidate.upstream.id,
-                what: resource,
+                what: call.path,
                 reason: outcome.reason,
             });
         }
