--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -126,34 +126,33 @@
         context.metrics.requests.inc({ service: "", outcome: reason });
         context.sendRefusal(response, metadata.requestId, { status, reason, retryAfterMs });
     };
+    const refuseAndClose: typeof refuse = (status, reason, retryAfterMs) => {
+        response.shouldKeepAlive = false;
+        refuse(status, reason, retryAfterMs);
+    };
     const problem = heads.findMalformedHeader(request.rawHeaders);
     if (problem !== undefined) {
         context.log.decision("malformed request", { requestId: metadata.requestId, reason: problem });
-        response.shouldKeepAlive = false;
-        refuse(400, exchanges.FinalReason.BadRequest);
+        refuseAndClose(400, exchanges.FinalReason.BadRequest);
         return;
     }
     // The host that relayed a request has checked it against the limits.
     if (!relay && headerSizeBytes(request) > limits.headerBytes) {
-        response.shouldKeepAlive = false;
-        refuse(431, exchanges.FinalReason.HeadersTooLong);
+        refuseAndClose(431, exchanges.FinalReason.HeadersTooLong);
         return;
     }
     const body = await readBody(request, limits.bodyBytes, Math.min(metadata.timeoutMs ?? Infinity, BODY_TIMEOUT_MS));
     if (body === BodyProblem.TooLong) {
-        response.shouldKeepAlive = false;
-        refuse(413, exchanges.FinalReason.BodyTooLong);
+        refuseAndClose(413, exchanges.FinalReason.BodyTooLong);
         return;
     }
     if (body === BodyProblem.NoMemory) {
-        response.shouldKeepAlive = false;
         const retryAfterMs = NO_MEMORY_RETRY_AFTER_MS * (0.5 + context.random());
-        refuse(503, exchanges.FinalReason.NoCapacity, retryAfterMs);
+        refuseAndClose(503, exchanges.FinalReason.NoCapacity, retryAfterMs);
         return;
     }
     if (body === BodyProblem.TimedOut) {
-        response.shouldKeepAlive = false;
-        refuse(408, exchanges.FinalReason.TimedOut);
+        refuseAndClose(408, exchanges.FinalReason.TimedOut);
         return;
     }
     if (body === BodyProblem.Broken) {
