--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -1,25 +1,21 @@
 import * as routing from "@citronlead/routing";
 import * as chai from "chai";
 import type * as net from "node:net";
-import * as v8 from "node:v8";
-import * as vm from "node:vm";
 import * as fixtures from "./fixture.js";
+import * as processes from "./process.js";
 
 const CONCURRENT = 20;
 /** The limit on all buffered bodies, 32 MB, and what 20 connections have in flight at both ends. */
 const MAX_GROWTH_BYTES = 40 * 1_048_576;
 const BLOCK = Buffer.alloc(65_536, "x");
 
-v8.setFlagsFromString("--expose-gc");
-const collectGarbage = vm.runInNewContext("gc") as () => void;
-
 /**
  * Memory of the buffers that are held. V8 keeps released ones until its next collection, and counts them until it has
  * freed them in the background, which the collection after that waits for.
  */
 function heldBytes(): number {
-    collectGarbage();
-    collectGarbage();
+    processes.collectGarbage();
+    processes.collectGarbage();
     return process.memoryUsage().arrayBuffers;
 }
 
--- a/packages/gateway/test/malformedheads.test.ts
+++ b/packages/gateway/test/malformedheads.test.ts
@@ -3,6 +3,7 @@
 import * as chai from "chai";
 import * as net from "node:net";
 import * as fixtures from "./fixture.js";
+import * as processes from "./process.js";
 
 const PORT_OFFSET = 3_260;
 const EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
@@ -34,24 +35,19 @@
     const headers = { "prompt-tokens": "500", "output-tokens": "100" };
     let engine: fixtures.StandIn;
     let counter: fixtures.StandIn;
-    const uncaught: unknown[] = [];
-    const record = (error: unknown) => void uncaught.push(error);
-    let former: NodeJS.UncaughtExceptionListener[];
+    let uncaught: processes.UncaughtRecord;
 
     before(async () => {
-        former = process.listeners("uncaughtException");
-        process.removeAllListeners("uncaughtException");
-        process.on("uncaughtException", record);
+        uncaught = processes.recordUncaught("uncaughtException");
         engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
         counter = await fixture.addStandIn("counter");
         await fixture.start(fixtures.makeConfiguration());
     });
     after(async () => {
         await fixture.close();
-        process.off("uncaughtException", record);
-        former.forEach((listener) => process.on("uncaughtException", listener));
+        uncaught.end();
     });
-    afterEach(() => chai.expect(uncaught.splice(0)).to.deep.equal([]));
+    afterEach(() => chai.expect(uncaught.errors.splice(0)).to.deep.equal([]));
 
     const head = (start: string, received: fixtures.Received, body: string) =>
         `${start}request-id: ${String(received.headers["request-id"])}\r\nsignature: s\r\n`
--- a/packages/gateway/test/smallpieces.test.ts
+++ b/packages/gateway/test/smallpieces.test.ts
@@ -3,9 +3,8 @@
 import * as chai from "chai";
 import * as net from "node:net";
 import * as perfHooks from "node:perf_hooks";
-import * as v8 from "node:v8";
-import * as vm from "node:vm";
 import * as fixtures from "./fixture.js";
+import * as processes from "./process.js";
 
 const PORT_OFFSET = 3_280;
 const MEGABYTE = 1_048_576;
@@ -17,11 +16,8 @@
 /** The readiness probe has to be answered within a second. */
 const MAX_DELAY_MS = 1_000;
 
-v8.setFlagsFromString("--expose-gc");
-const collectGarbage = vm.runInNewContext("gc") as () => void;
-
 function heldBytes(): number {
-    collectGarbage();
+    processes.collectGarbage();
     const { heapUsed, arrayBuffers } = process.memoryUsage();
     return heapUsed + arrayBuffers;
 }
--- a/packages/gateway/test/unwritable.test.ts
+++ b/packages/gateway/test/unwritable.test.ts
@@ -4,6 +4,7 @@
 import * as agents from "../src/upstream/agent.js";
 import * as calls from "../src/upstream/call.js";
 import * as fixtures from "./fixture.js";
+import * as processes from "./process.js";
 
 // Guards against a call that rejects where its outcome was expected, which ends the process (review case 4).
 describe("Calls that cannot be written", () => {
@@ -35,11 +36,7 @@
     it("do not end the process when they release a reservation", async () => {
         const fixture = new fixtures.Fixture(3_300);
         const engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
-        const rejections: unknown[] = [];
-        const record = (error: unknown) => void rejections.push(error);
-        const former = process.listeners("unhandledRejection");
-        process.removeAllListeners("unhandledRejection");
-        process.on("unhandledRejection", record);
+        const rejections = processes.recordUncaught("unhandledRejection");
         engine.behave = (received, response) => {
             if (received.path.startsWith("/reserve")) {
                 response.end(JSON.stringify({ id: "a b" }));
@@ -52,9 +49,8 @@
         const { status } = await fixture.send({ path: "/write/1", headers });
         await lifecycle.pause(fixture.scope, 50);
         await fixture.close();
-        process.off("unhandledRejection", record);
-        former.forEach((listener) => process.on("unhandledRejection", listener));
+        rejections.end();
         chai.expect(status).to.equal(503);
-        chai.expect(rejections).to.deep.equal([]);
+        chai.expect(rejections.errors).to.deep.equal([]);
     });
 });
