--- a/packages/gateway/test/betweenhosts.test.ts
+++ b/packages/gateway/test/betweenhosts.test.ts
@@ -12,12 +12,13 @@
 import * as envelopes from "../src/relay/envelope.js";
 
 /** What the release in production writes, one message a line; see docs/design/between-hosts.md. */
-const GOLDEN = new URL("../../test/golden/messages-4f7253d.jsonl", import.meta.url);
+const GOLDEN = new URL("../../test/golden/messages-8fae101.jsonl", import.meta.url);
 
 interface GoldenLine {
     readonly kind?: string;
     readonly relayRequest?: string;
     readonly relayRefusal?: string;
+    readonly relayLeaving?: string;
 }
 
 /** The names and types of the fields of a value, with those of its parts. */
@@ -55,7 +56,7 @@
     });
 
     it("about relayed requests are read as the release writes them", () => {
-        for (const { value: { relayRequest, relayRefusal } } of lines) {
+        for (const { value: { relayRequest, relayRefusal, relayLeaving } } of lines) {
             if (relayRequest !== undefined) {
                 const headers = { "citronlead-relay-request": relayRequest };
                 const request = { headers } as unknown as http.IncomingMessage;
@@ -67,6 +68,12 @@
                 chai.expect(envelopes.parseRefusal({ "citronlead-relay-refusal": relayRefusal }))
                     .to.deep.include(JSON.parse(relayRefusal));
             }
+            if (relayLeaving !== undefined) {
+                chai.expect(envelopes.parseLeaving({ "citronlead-relay-leaving": relayLeaving })).to.equal(
+                    relayLeaving,
+                );
+                chai.expect(envelopes.leavingHeaders(relayLeaving)).to.include(relayLeaving);
+            }
         }
     });
 
