Messages between hosts: count unknown kinds apart from malformed ones

Operators could not tell a later build's messages from garbage: both were one log line. Test: messages.test, "is told apart by what makes it unreadable".

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -127,6 +127,7 @@
         quotaTolerance: () => current.quotaTolerance,
         quotaWindowMs: settings.quotaWindowMs,
         onStoreUpdate: storeView.receiveUpdate,
+        onUnread: (reason) => gatewayMetrics.unreadMessages.inc({ reason }),
         quarantine,
         limits: upstreamLimits,
     });
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -1,4 +1,5 @@
 import * as zod from "zod";
+import * as json from "./json.js";
 
 /** The kinds of message between hosts. */
 export enum MessageKind {
@@ -92,12 +93,23 @@
 /** A message between hosts. */
 export type Message = zod.infer<typeof messageSchema>;
 
+/** Why a datagram is not read. */
+export enum UnreadReason {
+    /** A kind of message that this build does not know, such as one of a later build. */
+    UnknownKind = "unknownKind",
+    Malformed = "malformed",
+}
+
+const kindSchema = zod.object({ kind: zod.string() });
+const KNOWN_KINDS: ReadonlySet<string> = new Set(Object.values(MessageKind));
+
 /** Parses a datagram; undefined if it is no message that this build knows. */
 export function parseMessage(bytes: Buffer): Message | undefined {
-    try {
-        return messageSchema.safeParse(JSON.parse(bytes.toString("utf8"))).data;
-    }
-    catch {
-        return undefined;
-    }
+    return messageSchema.safeParse(json.parseJson(bytes)).data;
+}
+
+/** Why a datagram is no message that this build knows. */
+export function unreadReason(bytes: Buffer): UnreadReason {
+    const kind = kindSchema.safeParse(json.parseJson(bytes)).data?.kind;
+    return kind === undefined || KNOWN_KINDS.has(kind) ? UnreadReason.Malformed : UnreadReason.UnknownKind;
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -11,6 +11,7 @@
     readonly waiting: promClient.Histogram<"service">;
     readonly connections: promClient.Counter;
     readonly droppedLogLines: promClient.Counter;
+    readonly unreadMessages: promClient.Counter<"reason">;
     readonly storeCalls: promClient.Counter<"call" | "result">;
     readonly configurationVersion: promClient.Gauge;
 }
@@ -53,6 +54,13 @@
         waiting: histogram("citronlead_gateway_waiting_seconds", "Time spent waiting for room at an engine."),
         connections: counter("citronlead_gateway_connections_total", "Connections opened to upstreams.", []),
         droppedLogLines: counter("citronlead_gateway_dropped_log_lines_total", "Log lines beyond the bound.", []),
+        unreadMessages: counter(
+            "citronlead_gateway_unread_messages_total",
+            "Datagrams that were not read, by reason.",
+            [
+                "reason",
+            ],
+        ),
         storeCalls: counter("citronlead_gateway_store_calls_total", "Calls to the store.", ["call", "result"]),
         configurationVersion: new promClient.Gauge({
             name: "citronlead_gateway_configuration_version",
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -60,6 +60,8 @@
     readonly quarantine: quarantines.Quarantine;
     readonly limits: limits.UpstreamLimits;
     readonly onStoreUpdate: (update: routing.StoreUpdate) => void;
+    /** Called for each datagram that is no message that this build knows. */
+    readonly onUnread: (reason: messages.UnreadReason) => void;
 }
 
 /** Opens the UDP socket for messages between hosts. */
@@ -135,8 +137,11 @@
             case messages.MessageKind.StoreUpdate:
                 options.onStoreUpdate({ ...message.news, configuration: message.news.configuration });
                 return;
-            case undefined:
-                log.decision("malformed datagram", { from: from.address, bytes: bytes.length });
+            case undefined: {
+                const reason = messages.unreadReason(bytes);
+                options.onUnread(reason);
+                log.decision("malformed datagram", { from: from.address, bytes: bytes.length, reason });
+            }
         }
     };
     socket.on("message", background.guardListener((error) => log.failure("receive datagram", error), receive));
--- a/packages/gateway/test/betweenhosts.test.ts
+++ b/packages/gateway/test/betweenhosts.test.ts
@@ -108,6 +108,7 @@
             quarantine: new quarantines.Quarantine(clock, log, () => 0),
             limits: new limits.UpstreamLimits(clock, log),
             onStoreUpdate: () => undefined,
+            onUnread: () => undefined,
         });
         for (const name of ["a", "b", "c", "d", "e", "f", "g", "h"]) {
             const limit = { ratePerSecond: 100, burst: 50, version: 3 };
--- a/packages/gateway/test/messages.test.ts
+++ b/packages/gateway/test/messages.test.ts
@@ -54,6 +54,14 @@
         chai.expect(messages.parseMessage(Buffer.from("[".repeat(60_000)))).to.equal(undefined);
     });
 
+    it("is told apart by what makes it unreadable", () => {
+        const reasonOf = (text: string) => messages.unreadReason(Buffer.from(text));
+        chai.expect(reasonOf(`{"kind":"kind to come","fingerprints":[]}`)).to.equal(messages.UnreadReason.UnknownKind);
+        for (const text of [`{"kind":"barred"}`, `{"kind":7}`, "{}", "no JSON"]) {
+            chai.expect(reasonOf(text), text).to.equal(messages.UnreadReason.Malformed);
+        }
+    });
+
     it("about a relayed request is read as a time that a timer can wait, or as none", () => {
         const anyEnvelope = fastCheck.record({ timeLeftMs: anyNumber, configuration: anyNumber, more: anyText });
         const anyHeader = fastCheck.oneof(anyEnvelope.map((value) => JSON.stringify(value)), fastCheck.string());
