Stops: a log line for each request taken while a host stops, and for each that is cut

Now a request that arrives while the host stops has a line with the time since SIGTERM, the time left and the longest that it may take; requests that are cut end with outcome "stopped" before the last flush, and one line has the ids of all of them; dropped requests are named by their ids. Two counters. What is served is the same.

--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -24,8 +24,8 @@
 /** How the requests of connections are served, and how it is told of those that are not. */
 export interface ConnectionListener {
     readonly serve: (request: http.IncomingMessage, response: http.ServerResponse) => void;
-    /** Called with the number of requests that arrived behind the last response of a connection. */
-    readonly onDropped: (count: number) => void;
+    /** Called with the requests that arrived behind the last response of a connection, or wait on one that is gone. */
+    readonly onDropped: (requests: readonly http.IncomingMessage[]) => void;
 }
 
 /**
@@ -41,13 +41,11 @@
         server.on("request", (request, response) => this.accept({ request, response }));
     }
 
-    /** Number of requests that are being served or wait for their turn. */
-    get openRequests(): number {
-        let count = 0;
-        for (const { current, waiting } of this.connections.values()) {
-            count += (current ? 1 : 0) + waiting.length;
-        }
-        return count;
+    /** The requests that are being served or wait for their turn. */
+    get openRequests(): http.IncomingMessage[] {
+        return [...this.connections.values()].flatMap(({ current, waiting }) =>
+            [...(current ? [current] : []), ...waiting].map(({ request }) => request)
+        );
     }
 
     /**
@@ -88,7 +86,7 @@
         const { socket } = arrival.request;
         const connection = this.connections.get(socket);
         if (!connection || connection.ending) {
-            this.listener.onDropped(1);
+            this.listener.onDropped([arrival.request]);
             return;
         }
         if (!connection.current) {
@@ -113,7 +111,7 @@
     private onServed(socket: net.Socket, connection: Connection, response: http.ServerResponse): void {
         connection.current = undefined;
         if (socket.destroyed || !this.connections.has(socket)) {
-            connection.waiting.length = 0;
+            this.drop(connection);
             return;
         }
         if (!response.shouldKeepAlive) {
@@ -128,13 +126,16 @@
 
     private end(socket: net.Socket, connection: Connection): void {
         connection.ending = true;
-        if (connection.waiting.length > 0) {
-            this.listener.onDropped(connection.waiting.length);
-            connection.waiting.length = 0;
-        }
+        this.drop(connection);
         socket.end(() => {
             const timer = setTimeout(() => socket.destroy(), LINGER_MS);
             socket.on("close", () => clearTimeout(timer));
         });
     }
+
+    private drop({ waiting }: Connection): void {
+        if (waiting.length > 0) {
+            this.listener.onDropped(waiting.splice(0).map(({ request }) => request));
+        }
+    }
 }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -12,6 +12,7 @@
 import type * as relays from "./relay/client.js";
 import type * as reachabilities from "./relay/reachability.js";
 import type * as settings from "./settings.js";
+import type * as stops from "./stop.js";
 import type * as views from "./store/view.js";
 import type * as agents from "./upstream/agent.js";
 import type * as notices from "./upstream/notices.js";
@@ -39,6 +40,7 @@
     readonly limits: limits.UpstreamLimits;
     readonly reachability: reachabilities.UpstreamReachability;
     readonly relay: relays.RelayClient;
+    readonly hostStop: stops.HostStop;
     readonly streamVersions: versions.StreamVersions;
     /** Sends the gateway's own response to a request that is not served. */
     readonly sendRefusal: (
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -35,6 +35,8 @@
     TimedOut = "timedOut",
     CallerDisconnected = "callerLeft",
     StreamBroken = "streamBroken",
+    /** The host has ended before the response. */
+    Stopped = "stopped",
 }
 
 /** One call to an upstream, as it is logged. Times are relative to the arrival of the request. */
@@ -121,6 +123,7 @@
         this.latencyTargetAt = startedAt + route.latencyTargetMs;
         this.deadlineTimer = setTimeout(() => this.onDeadline(), Math.max(0, this.deadlineAt - context.clock()));
         response.on("close", () => this.onCallerDisconnect());
+        context.hostStop.add(this);
     }
 
     /** Aborted when the final response has been sent or the caller has disconnected. */
@@ -279,7 +282,7 @@
         if (this.finished) {
             return;
         }
-        this.finish(reason, this.response.statusCode);
+        this.finish(reason, this.response.headersSent ? this.response.statusCode : 0);
         if (this.response.chunkedEncoding) {
             this.response.destroy();
         }
@@ -369,6 +372,7 @@
 
     private finish(reason: FinalReason, status: number): void {
         this.finished = true;
+        this.context.hostStop.delete(this);
         if (this.callInFlight) {
             this.callRecords.push(this.callInFlight);
         }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import * as reachabilities from "./relay/reachability.js";
 import * as servers from "./server.js";
 import type * as settings from "./settings.js";
+import * as stops from "./stop.js";
 import * as views from "./store/view.js";
 import * as agents from "./upstream/agent.js";
 import * as notices from "./upstream/notices.js";
@@ -134,6 +135,7 @@
     storeView.setPublisher(peerChannel.sendStoreUpdate);
     quarantine.setMessages(peerChannel.quarantine);
     upstreamLimits.setChannel(peerChannel);
+    const hostStop = new stops.HostStop(clock, log, gatewayMetrics);
     const context: contexts.GatewayContext = {
         scope,
         settings,
@@ -154,41 +156,43 @@
         streamVersions,
         reachability: new reachabilities.UpstreamReachability({ scope, clock, log, pool, agent, random }),
         relay: new relays.RelayClient(hostAgent),
+        hostStop,
         sendRefusal: (response, requestId, refusal) => sendRefusal(wireFormat, response, requestId, refusal),
         logOutcome: (exchange, reason, status) => logOutcome(context, exchange, reason, status),
     };
     const models = new handlers.ModelRequestHandler(context);
-    let stopping = false;
     const callers = await servers.openCallerServer(context, models, settings.callers);
     // Requests that other hosts relay arrive at the TCP port of the same number as the UDP port for messages.
     const relayed = await servers.openCallerServer(context, models, settings.peers, {
         markRequest: envelopes.markRelayed,
         accepts: (request, configuration) =>
-            !stopping && configuration >= (envelopes.relayedRequestOf(request)?.configuration ?? Infinity),
+            !hostStop.isStopping && configuration >= (envelopes.relayedRequestOf(request)?.configuration ?? Infinity),
     });
-    const openRequests = () => callers.openRequests() + relayed.openRequests();
+    const openRequests = () => [...callers.openRequests(), ...relayed.openRequests()];
     await endpoints.openReadinessServer(
         scope,
         settings.readiness,
         wireFormat.readinessPath,
-        () => !stopping && storeView.activeConfiguration() !== undefined && pool.hasAcceptingUpstreams,
+        () => !hostStop.isStopping && storeView.activeConfiguration() !== undefined && pool.hasAcceptingUpstreams,
     );
     await endpoints.openMetricsServer(scope, settings.metrics, settings.metrics.path, gatewayMetrics.registry, log);
     log.notice("started", { callers: settings.callers, metrics: settings.metrics });
     const stop = async () => {
-        stopping = true;
         const startedAt = clock();
-        log.notice("stopping", { open: openRequests() });
+        hostStop.begin(() => startedAt + current.stopPeriodMs * STOP_DEADLINE_SHARE);
+        log.notice("stopping", { open: openRequests().length });
         callers.disableKeepAlive();
         relayed.disableKeepAlive();
         await lifecycle.pause(scope, Math.min(BALANCER_REMOVAL_MS, current.stopPeriodMs / 3));
         callers.stopAccepting();
-        while (openRequests() > 0 && clock() - startedAt < current.stopPeriodMs * STOP_DEADLINE_SHARE) {
+        while (openRequests().length > 0 && hostStop.timeLeftMs > 0) {
             await lifecycle.pause(scope, DRAIN_POLL_MS);
             callers.stopAccepting();
         }
         relayed.stopAccepting();
-        log.notice("stopped", { open: openRequests(), afterMs: Math.round(clock() - startedAt) });
+        const cut = openRequests();
+        hostStop.cut(cut);
+        log.notice("stopped", { open: cut.length, afterMs: Math.round(clock() - startedAt) });
         log.flush();
         await scope.close();
     };
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -41,8 +41,8 @@
 
 /** The HTTP server for callers. */
 export interface CallerServer {
-    /** Number of requests in flight. */
-    readonly openRequests: () => number;
+    /** Ids of the requests in flight. */
+    readonly openRequests: () => (string | undefined)[];
     /** Closes each connection after its next response that has not begun. */
     readonly disableKeepAlive: () => void;
     /** Stops accepting connections and closes the idle ones. */
@@ -71,6 +71,7 @@
         noDelay: true,
     });
     const limits = () => context.storeView.activeConfiguration()?.table.configuration.limits ?? DEFAULT_LIMITS;
+    const idOf = ({ headers }: http.IncomingMessage) => context.wireFormat.parseRequest(headers).requestId;
     const callers = new connections.CallerConnections(server, {
         serve: (request, response) => {
             server.keepAliveTimeout = limits().idleTimeoutMs;
@@ -80,7 +81,14 @@
                 handleInternalError(context, response, error)
             );
         },
-        onDropped: (count) => context.log.decision("requests behind the last response of a connection", { count }),
+        onDropped: (requests) => {
+            context.metrics.droppedRequests.inc(requests.length);
+            context.log.decision("requests behind the last response of a connection", {
+                count: requests.length,
+                requestIds: requests.map(idOf),
+                sinceStopMs: context.hostStop.sinceMs,
+            });
+        },
     });
     server.on("clientError", (error, socket) => {
         context.log.decision("malformed request", { reason: error.message });
@@ -95,7 +103,7 @@
         server.closeAllConnections();
     });
     return {
-        openRequests: () => callers.openRequests,
+        openRequests: () => callers.openRequests.map(idOf),
         disableKeepAlive: () => callers.disableKeepAlive(),
         stopAccepting: () => {
             callers.stopAccepting();
@@ -191,6 +199,7 @@
     if (exchange.refuseIfBarred()) {
         return;
     }
+    context.hostStop.recordTaken(exchange);
     if (context.reachability.stateOf(service) !== dispatch.Reachability.Reachable && await serveElsewhere(exchange)) {
         return;
     }
