Tests that fail: a stopping host begins streams that it has no time to finish, and cuts them

So do those on a new connection just after SIGTERM, when they take longer than the stop. The caller with a raw socket of the gateway's tests moves to packages/testing.

--- a/packages/gateway/test/stopping.test.ts
+++ b/packages/gateway/test/stopping.test.ts
@@ -2,7 +2,6 @@
 import * as routing from "@citronlead/routing";
 import * as testing from "@citronlead/testing";
 import * as chai from "chai";
-import * as net from "node:net";
 import * as fixtures from "./fixture.js";
 
 const PORT_OFFSET = 3_240;
@@ -14,34 +13,16 @@
     `GET ${path} HTTP/1.1\r\nHost: shop.example\r\nrequest-id: ${requestId}\r\nkey: key-1\r\n`
     + "prompt-tokens: 100\r\noutput-tokens: 10\r\n\r\n";
 
-/** Time after the host's end of a connection until the caller ends it too; it goes on sending meanwhile. */
-const HALF_OPEN_MS = 200;
-
-/** A caller that does not end its connection as soon as the host does. */
-class PersistentCaller {
-    received = "";
-    readonly socket: net.Socket;
-    readonly closed: Promise<void>;
-
+/** A caller of the gateway under test. */
+class Caller extends testing.RawCaller {
     constructor() {
-        const port = testing.testPortBase(PORT_OFFSET);
-        this.socket = net.connect({ host: "127.0.0.1", port, allowHalfOpen: true });
-        this.socket.on("data", (bytes: Buffer) => this.received += bytes.toString("latin1"));
-        this.socket.on("end", () => setTimeout(() => this.socket.end(), HALF_OPEN_MS));
-        this.socket.on("error", () => undefined);
-        this.closed = new Promise((resolve) => this.socket.on("close", () => resolve()));
+        super(testing.testPortBase(PORT_OFFSET));
     }
 
     /** Number of responses to a request. */
     count(requestId: string): number {
         return this.received.split(`request-id: ${requestId}\r\n`).length - 1;
     }
-
-    async waitFor(text: string): Promise<void> {
-        while (!this.received.includes(text) && !this.socket.closed) {
-            await new Promise((resolve) => setTimeout(resolve, 2));
-        }
-    }
 }
 
 // Guards against bookings that run while their caller gets no answer (review case 1).
@@ -71,7 +52,7 @@
 
     for (const [moment, delayMs] of [["before", 50], ["after", 1_400]] as const) {
         it(`sends no request upstream that it cannot answer, ${moment} it stops accepting`, async () => {
-            const caller = new PersistentCaller();
+            const caller = new Caller();
             caller.socket.write(head("/write/1", "stream"));
             await caller.waitFor("data: a");
             void fixture.stop();
@@ -88,7 +69,7 @@
     }
 
     it("answers requests that were sent in a row in turn, and runs none behind the last answer", async () => {
-        const caller = new PersistentCaller();
+        const caller = new Caller();
         let ending = false;
         counter.behave = (received, response) =>
             void setTimeout(() => fixtures.signed(response, received, "counted"), ending ? 100 : 300);
@@ -107,7 +88,7 @@
 
     it("sends an answer whole to a caller that reads it slowly", async () => {
         counter.behave = (received, response) => fixtures.signed(response, received, LONG_ANSWER);
-        const caller = new PersistentCaller();
+        const caller = new Caller();
         caller.socket.write(head("/look/1", "long"));
         await caller.waitFor("request-id: long");
         caller.socket.pause();
@@ -118,3 +99,78 @@
         chai.expect(caller.received.length).to.be.above(LONG_ANSWER.length);
     });
 });
+
+const STREAM_BODY = "a prompt of forty characters and no more";
+/** Time from the start of a stream to its end, in its path; the gateway under test cuts requests 2.8 s after a stop begins. */
+const FIRST_STREAM_MS = 1_300;
+const LATE_STREAM_MS = 2_000;
+const NEW_STREAM_MS = 3_000;
+
+// Guards against streams that a stopping gateway begins and cuts (docs/incidents/armor-rdv-cut-at-a-stop.md).
+describe("A stopping gateway, and streams that it has no time to finish", () => {
+    let fixture: fixtures.Fixture;
+    let ran: string[];
+
+    beforeEach(async () => {
+        fixture = new fixtures.Fixture(PORT_OFFSET);
+        ran = [];
+        const engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
+        engine.behave = ({ path, headers }, response) => {
+            if (path.startsWith("/reserve")) {
+                response.end(JSON.stringify({ id: "reservation" }));
+                return;
+            }
+            ran.push(String(headers["request-id"]));
+            response.writeHead(200, { "signature": "s", "content-type": "text/event-stream" });
+            response.write(EVENT);
+            lifecycle.after(fixture.scope, Number(path.split("/").at(-1)), () => response.end("id: 2\ndata: end\n\n"));
+        };
+        await fixture.start(fixtures.makeConfiguration());
+    });
+    afterEach(() => fixture.close());
+
+    const stream = (requestId: string, lastsMs: number, framing: testing.BodyFraming): testing.RawRequest => ({
+        path: `/write/${lastsMs}`,
+        headers: {
+            "host": "shop.example",
+            "request-id": requestId,
+            "key": "key-1",
+            "prompt-tokens": "100",
+            "output-tokens": "10",
+        },
+        body: STREAM_BODY,
+        framing,
+    });
+    const expectAnswer = (caller: Caller, requestId: string) => {
+        const response = caller.responseWith(`request-id: ${requestId}`);
+        chai.expect(response?.isWhole, `a whole answer to ${requestId}`).to.equal(true);
+        if (response?.status !== 200) {
+            chai.expect(response?.status).to.equal(503);
+            chai.expect(response?.head).to.match(/^retry-after: [\d.]+\r$/im);
+            chai.expect(response?.head).to.match(/^connection: close\r$/im);
+            chai.expect(ran).to.not.include(requestId);
+        }
+    };
+
+    for (const framing of Object.values(testing.BodyFraming)) {
+        it(`cuts none that comes late on a kept connection, ${framing}`, async () => {
+            const caller = new Caller();
+            await caller.send(stream("first", FIRST_STREAM_MS, framing));
+            await caller.waitFor("data: a");
+            void fixture.stop();
+            await caller.waitFor("data: end");
+            await caller.send(stream("late", LATE_STREAM_MS, framing));
+            await caller.closed;
+            expectAnswer(caller, "first");
+            expectAnswer(caller, "late");
+        });
+
+        it(`cuts none that comes on a new connection, ${framing}`, async () => {
+            void fixture.stop();
+            const caller = new Caller();
+            await caller.send(stream("new", NEW_STREAM_MS, framing));
+            await caller.closed;
+            expectAnswer(caller, "new");
+        });
+    }
+});
