Stops: begin only what the host has time to finish, and give the rest a true refusal

Cause: a connection whose response had begun before SIGTERM got one more request, whenever that came and whatever it needed, and so did new connections until the load balancer's removal; at 0.93 of the stop period all of it was cut. Nothing compared what a request needs with the time left.

dispatch/stopping.ts plans a stop and decides on each request that would begin in it, by the time left, the longest that its deadline allows, and what 95 of 100 of the latest requests of its route took. The decision is taken before anything is charged or relayed, and again at each send of a request that waited meanwhile (plain.ts, handler.ts, in the queue for capacity, before other hosts are asked). A request without time is refused at once: 503 if nothing may have run, 502 if it may, with a short Retry-After, and its connection ends with the answer.

Shortly before the end, requests without any response get their final one (also those whose bodies are being read); only streams under way are cut, which must not look complete. A connection is closed once it has been idle for half a second, so that a request sent as soon as a stream ends does not cross the close; before, it was closed within 50 ms. The stop ends when no connection is left. A change of the stop period while the host stops no longer moves its end. A host that relayed a request to one that stops asks a third.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -17,4 +17,5 @@
 export * from "./rendezvous.js";
 export * from "./retry.js";
 export * from "./stages.js";
+export * from "./stopping.js";
 export * from "./versions.js";
--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -17,6 +17,8 @@
     /** The request that is being served. */
     current: Arrival | undefined;
     readonly waiting: Arrival[];
+    /** When its latest response ended, or it was opened. */
+    idleSince: decision.Milliseconds;
     /** Whether its last response has begun to end it: later requests cannot be answered. */
     ending: boolean;
 }
@@ -36,7 +38,11 @@
     private readonly connections = new Map<net.Socket, Connection>();
     private keepAlive = true;
 
-    constructor(private readonly server: http.Server, private readonly listener: ConnectionListener) {
+    constructor(
+        private readonly server: http.Server,
+        private readonly clock: decision.Clock,
+        private readonly listener: ConnectionListener,
+    ) {
         server.on("connection", (socket: net.Socket) => this.add(socket));
         server.on("request", (request, response) => this.accept({ request, response }));
     }
@@ -48,6 +54,11 @@
         );
     }
 
+    /** Number of connections that are not closed yet. */
+    get openConnections(): number {
+        return this.connections.size;
+    }
+
     /**
      * Makes the next response that begins on each connection its last. Where a response has already begun without saying so,
      * that is the one after it, unless the connection is closed while idle.
@@ -68,17 +79,21 @@
         }
     }
 
-    /** Ends the connections without a request, once all that was written to them has been sent. */
-    closeIdle(): void {
+    /**
+     * Ends the connections that have had no request for the given time, once all that was written to them has been sent. A
+     * caller that sends its next request as soon as it has a response is not cut off by that.
+     */
+    closeIdle(idleMs: decision.Milliseconds): void {
+        const now = this.clock();
         for (const [socket, connection] of this.connections) {
-            if (!connection.current && !connection.ending) {
+            if (!connection.current && !connection.ending && now - connection.idleSince >= idleMs) {
                 this.end(socket, connection);
             }
         }
     }
 
     private add(socket: net.Socket): void {
-        this.connections.set(socket, { current: undefined, waiting: [], ending: false });
+        this.connections.set(socket, { current: undefined, waiting: [], idleSince: this.clock(), ending: false });
         socket.on("close", () => this.connections.delete(socket));
     }
 
@@ -110,6 +125,7 @@
 
     private onServed(socket: net.Socket, connection: Connection, response: http.ServerResponse): void {
         connection.current = undefined;
+        connection.idleSince = this.clock();
         if (socket.destroyed || !this.connections.has(socket)) {
             this.drop(connection);
             return;
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -36,6 +36,7 @@
     readonly peers: peers.Peers;
     readonly retryBudget: dispatch.RetryBudget;
     readonly outputForecast: dispatch.OutputForecast;
+    readonly durationForecast: dispatch.DurationForecast;
     readonly quarantine: quarantines.Quarantine;
     readonly limits: limits.UpstreamLimits;
     readonly reachability: reachabilities.UpstreamReachability;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -35,6 +35,8 @@
     TimedOut = "timedOut",
     CallerDisconnected = "callerLeft",
     StreamBroken = "streamBroken",
+    /** The host stops and has no time for the request. */
+    HostStopping = "hostStopping",
     /** The host has ended before the response. */
     Stopped = "stopped",
 }
@@ -301,6 +303,9 @@
         if (this.finished || this.mayHaveRun || this.response.headersSent || !isUnreached) {
             return this.finished;
         }
+        if (this.refuseIfStopping()) {
+            return true;
+        }
         this.takeBackCharges();
         if (await this.context.relay.relay(this)) {
             return true;
@@ -323,6 +328,23 @@
         return this.finished;
     }
 
+    /** Refuses a request without a response if this host stops and has no time for it. Returns whether it is over. */
+    refuseIfStopping(): boolean {
+        if (!this.finished && !this.response.headersSent && !this.context.hostStop.mayBegin(this)) {
+            this.refuseForStop();
+        }
+        return this.finished;
+    }
+
+    /** Refuses the request, since this host stops. */
+    refuseForStop(): void {
+        this.refuse({
+            status: this.mayHaveRun ? 502 : 503,
+            reason: FinalReason.HostStopping,
+            retryAfterMs: this.context.hostStop.retryAfterMs(),
+        });
+    }
+
     /** Refuses the request, or aborts its response if a part has already been sent. */
     refuse(refusal: Refusal): void {
         if (this.finished) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,7 @@
 import * as util from "node:util";
 import type * as contexts from "./context.js";
 import * as endpoints from "./endpoints.js";
-import type * as exchanges from "./exchange.js";
+import * as exchanges from "./exchange.js";
 import * as limits from "./limits.js";
 import * as logs from "./log.js";
 import * as metrics from "./metrics.js";
@@ -27,15 +27,15 @@
 import * as pools from "./upstream/pool.js";
 import type * as wires from "./wire.js";
 
-/**
- * Time that the load balancer needs to take a host out of rotation: two readiness probes one second apart, and one more
- * as a margin.
- */
-const BALANCER_REMOVAL_MS = 2_600;
-/** Share of the stop period after which the process ends even if requests are in flight. */
-const STOP_DEADLINE_SHARE = 0.93;
 /** Interval at which a stopping process checks whether requests are in flight. */
 const DRAIN_POLL_MS = 50;
+/** The same, in its last moment. */
+const LAST_POLL_MS = 10;
+/** Outcomes of requests that tell how long such requests take, or at least. */
+const TIMED_OUTCOMES: ReadonlySet<exchanges.FinalReason> = new Set([
+    exchanges.FinalReason.Served,
+    exchanges.FinalReason.TimedOut,
+]);
 
 /** Settings that only change with a restart of the process. */
 const RESTART_ONLY_FIELDS: ReadonlySet<keyof settings.GatewaySettings> = new Set([
@@ -135,7 +135,8 @@
     storeView.setPublisher(peerChannel.sendStoreUpdate);
     quarantine.setMessages(peerChannel.quarantine);
     upstreamLimits.setChannel(peerChannel);
-    const hostStop = new stops.HostStop(clock, log, gatewayMetrics);
+    const durationForecast = new dispatch.DurationForecast();
+    const hostStop = new stops.HostStop({ clock, random, log, metrics: gatewayMetrics, durationForecast });
     const context: contexts.GatewayContext = {
         scope,
         settings,
@@ -151,6 +152,7 @@
         peers: peerChannel,
         retryBudget: new dispatch.RetryBudget(() => current.retries),
         outputForecast: new dispatch.OutputForecast(),
+        durationForecast,
         quarantine,
         limits: upstreamLimits,
         streamVersions,
@@ -178,21 +180,26 @@
     await endpoints.openMetricsServer(scope, settings.metrics, settings.metrics.path, gatewayMetrics.registry, log);
     log.notice("started", { callers: settings.callers, metrics: settings.metrics });
     const stop = async () => {
-        const startedAt = clock();
-        hostStop.begin(() => startedAt + current.stopPeriodMs * STOP_DEADLINE_SHARE);
+        const plan = dispatch.planStop(clock(), current.stopPeriodMs);
+        const isBusy = () => callers.openConnections() > 0 || relayed.openRequests().length > 0;
+        hostStop.begin(plan);
         log.notice("stopping", { open: openRequests().length });
         callers.disableKeepAlive();
         relayed.disableKeepAlive();
-        await lifecycle.pause(scope, Math.min(BALANCER_REMOVAL_MS, current.stopPeriodMs / 3));
-        callers.stopAccepting();
-        while (openRequests().length > 0 && hostStop.timeLeftMs > 0) {
+        await lifecycle.pause(scope, plan.removedAt - clock());
+        callers.stopAccepting(plan.idleMs);
+        while (isBusy() && clock() < plan.lastAnswersAt) {
             await lifecycle.pause(scope, DRAIN_POLL_MS);
-            callers.stopAccepting();
+            callers.stopAccepting(plan.idleMs);
+        }
+        hostStop.answerWaiting();
+        while (isBusy() && clock() < plan.cutAt) {
+            await lifecycle.pause(scope, LAST_POLL_MS);
         }
-        relayed.stopAccepting();
+        relayed.stopAccepting(0);
         const cut = openRequests();
         hostStop.cut(cut);
-        log.notice("stopped", { open: cut.length, afterMs: Math.round(clock() - startedAt) });
+        log.notice("stopped", { open: cut.length, afterMs: hostStop.sinceMs });
         log.flush();
         await scope.close();
     };
@@ -254,6 +261,9 @@
     const active = storeView.activeConfiguration();
     context.metrics.requests.inc({ service: exchange.service, outcome: reason });
     context.metrics.duration.observe({ service: exchange.service }, (now - exchange.startedAt) / decision.SECOND_MS);
+    if (TIMED_OUTCOMES.has(reason)) {
+        context.durationForecast.observe(exchange.route.name, now - exchange.startedAt);
+    }
     log.decision("request ended", {
         requestId: exchange.metadata.requestId,
         route: exchange.route.name,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -10,7 +10,7 @@
     readonly duration: promClient.Histogram<"service">;
     readonly waiting: promClient.Histogram<"service">;
     readonly connections: promClient.Counter;
-    readonly stoppingRequests: promClient.Counter;
+    readonly stoppingRequests: promClient.Counter<"decision">;
     readonly droppedRequests: promClient.Counter;
     readonly droppedLogLines: promClient.Counter;
     readonly unreadMessages: promClient.Counter<"reason">;
@@ -55,7 +55,9 @@
         duration: histogram("citronlead_gateway_duration_seconds", "From arrival to the end of the answer."),
         waiting: histogram("citronlead_gateway_waiting_seconds", "Time spent waiting for room at an engine."),
         connections: counter("citronlead_gateway_connections_total", "Connections opened to upstreams.", []),
-        stoppingRequests: counter("citronlead_gateway_stopping_requests_total", "Requests taken while stopping.", []),
+        stoppingRequests: counter("citronlead_gateway_stopping_requests_total", "Requests while stopping.", [
+            "decision",
+        ]),
         droppedRequests: counter(
             "citronlead_gateway_dropped_requests_total",
             "Requests behind the last answer of a connection.",
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -77,7 +77,7 @@
                 }
                 return;
             }
-            if (exchange.refuseIfBarred()) {
+            if (exchange.refuseIfBarred() || exchange.refuseIfStopping()) {
                 reservations.releaseReservation(exchange, reservation);
                 return;
             }
@@ -130,7 +130,7 @@
                 this.stageKeeper.balanceOf(exchange.service)
                     .observePrefill(exchange.metadata.promptTokens, this.context.clock() - startedAt);
             }
-            if (exchange.refuseIfBarred()) {
+            if (exchange.refuseIfBarred() || exchange.refuseIfStopping()) {
                 reservations.releaseReservation(exchange, reservation);
                 if (prefill) {
                     prefills.releasePrefill(exchange, prefill);
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -61,6 +61,9 @@
     let served = false;
     try {
         while (await queue.waitForTurn(id, exchange.signal) === queueing.WakeReason.Try) {
+            if (exchange.refuseIfStopping()) {
+                return ReservationFailure.GivenUp;
+            }
             const reservation = await tryReserve(exchange, queue, isEligible);
             if (typeof reservation !== "string") {
                 served = true;
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -31,7 +31,7 @@
     let runs = 0;
     let limitedForMs: decision.Milliseconds | undefined;
     for (let count = 0; count < MAX_SENDS && !exchange.isOver; count++) {
-        if (exchange.refuseIfBarred()) {
+        if (exchange.refuseIfBarred() || exchange.refuseIfStopping()) {
             return;
         }
         const choice = await context.limits.firstPermitted(rankUntried(exchange, tried));
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -105,7 +105,7 @@
             await calls.readBody(response, REFUSAL_TIMEOUT_MS, MAX_REFUSAL_BYTES);
             const status = response.statusCode ?? 502;
             exchange.mayHaveRun = mayHaveRun || !NOT_RUN_STATUSES.has(status);
-            if (UNABLE_REASONS.has(refusal.reason)) {
+            if (UNABLE_REASONS.has(refusal.reason) && NOT_RUN_STATUSES.has(status)) {
                 return RelayAnswer.Unable;
             }
             const reason = Object.values(exchanges.FinalReason).find((known) => known === refusal.reason);
@@ -129,6 +129,7 @@
 const UNABLE_REASONS: ReadonlySet<string> = new Set([
     exchanges.FinalReason.Unreachable,
     exchanges.FinalReason.NotReady,
+    exchanges.FinalReason.HostStopping,
 ]);
 
 /** Relays an upstream's response that another host has relayed, as it arrives. */
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -43,10 +43,12 @@
 export interface CallerServer {
     /** Ids of the requests in flight. */
     readonly openRequests: () => (string | undefined)[];
+    /** Number of connections that are not closed yet. */
+    readonly openConnections: () => number;
     /** Closes each connection after its next response that has not begun. */
     readonly disableKeepAlive: () => void;
-    /** Stops accepting connections and closes the idle ones. */
-    readonly stopAccepting: () => void;
+    /** Stops accepting connections and closes those that have been idle for the given time. */
+    readonly stopAccepting: (idleMs: decision.Milliseconds) => void;
 }
 
 /** Options of a server for requests that other hosts relay. */
@@ -72,7 +74,7 @@
     });
     const limits = () => context.storeView.activeConfiguration()?.table.configuration.limits ?? DEFAULT_LIMITS;
     const idOf = ({ headers }: http.IncomingMessage) => context.wireFormat.parseRequest(headers).requestId;
-    const callers = new connections.CallerConnections(server, {
+    const callers = new connections.CallerConnections(server, context.clock, {
         serve: (request, response) => {
             server.keepAliveTimeout = limits().idleTimeoutMs;
             relay?.markRequest(request);
@@ -105,9 +107,10 @@
     return {
         openRequests: () => callers.openRequests.map(idOf),
         disableKeepAlive: () => callers.disableKeepAlive(),
-        stopAccepting: () => {
+        openConnections: () => callers.openConnections,
+        stopAccepting: (idleMs) => {
             callers.stopAccepting();
-            callers.closeIdle();
+            callers.closeIdle(idleMs);
         },
     };
 }
@@ -149,7 +152,12 @@
         refuseAndClose(431, exchanges.FinalReason.HeadersTooLong);
         return;
     }
-    const body = await readBody(request, limits.bodyBytes, Math.min(metadata.timeoutMs ?? Infinity, BODY_TIMEOUT_MS));
+    const body = await readBody(
+        request,
+        limits.bodyBytes,
+        Math.min(metadata.timeoutMs ?? Infinity, BODY_TIMEOUT_MS),
+        (callback) => context.hostStop.onLastAnswers(callback),
+    );
     if (body === BodyProblem.TooLong) {
         refuseAndClose(413, exchanges.FinalReason.BodyTooLong);
         return;
@@ -163,6 +171,10 @@
         refuseAndClose(408, exchanges.FinalReason.TimedOut);
         return;
     }
+    if (body === BodyProblem.HostStopping) {
+        refuseAndClose(503, exchanges.FinalReason.HostStopping, context.hostStop.retryAfterMs());
+        return;
+    }
     if (body === BodyProblem.Broken) {
         return;
     }
@@ -196,10 +208,9 @@
         active.table.configuration.version,
         startedAt,
     );
-    if (exchange.refuseIfBarred()) {
+    if (exchange.refuseIfBarred() || exchange.refuseIfStopping()) {
         return;
     }
-    context.hostStop.recordTaken(exchange);
     if (context.reachability.stateOf(service) !== dispatch.Reachability.Reachable && await serveElsewhere(exchange)) {
         return;
     }
@@ -235,6 +246,8 @@
     TooLong = "tooLong",
     NoMemory = "noMemory",
     TimedOut = "timedOut",
+    /** This host stops, and has no time to read the rest. */
+    HostStopping = "hostStopping",
     /** The caller disconnected before the body was complete. */
     Broken = "broken",
 }
@@ -244,6 +257,7 @@
     request: http.IncomingMessage,
     limitBytes: number,
     timeoutMs: decision.Milliseconds,
+    onLastAnswers: (callback: () => void) => () => void,
 ): Promise<Buffer | undefined | BodyProblem> {
     const hasBody = request.headers["content-length"] !== undefined
         || request.headers["transfer-encoding"] !== undefined;
@@ -254,6 +268,7 @@
             if (!finished) {
                 finished = true;
                 clearTimeout(timer);
+                forgetStop();
                 collector.discard();
                 resolve(result);
             }
@@ -262,6 +277,10 @@
             request.pause();
             finish(BodyProblem.TimedOut);
         }, timeoutMs);
+        const forgetStop = onLastAnswers(() => {
+            request.pause();
+            finish(BodyProblem.HostStopping);
+        });
         request.on("data", (piece: Buffer) => {
             const added = finished ? bodies.AddResult.Added : collector.add(piece);
             if (added !== bodies.AddResult.Added) {
