Streams: a silent engine ends no answer before its caller would abandon it

Cause: the silence limit was a share of the caller's, to tell a failure earlier, although nothing can go on then. Now a stream goes on elsewhere after 1.9 s only if the route, its attempts and the budget allow that; else the limit lies beyond the caller's.

--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -16,14 +16,16 @@
 
 /** Maximum number of rounds of reservation, prefill and decode for one request. */
 const MAX_ROUNDS = 3;
-/** Shortest silence after which a stream is considered dead; callers wait at least two seconds for an event. */
-const MIN_SILENCE_MS = 1_900;
+/** Silence after which a stream goes on at another engine; callers wait longer for an event. */
+const FAILOVER_SILENCE_MS = 1_900;
+/** Shortest silence after which callers abandon a stream. */
+const MIN_CALLER_SILENCE_MS = 2_000;
 /** Number of latency targets without an event after which callers abandon a stream. */
 const SILENT_LATENCY_TARGETS = 4;
 /** Number of event gap targets without an event after which callers abandon a stream. */
 const SILENT_GAP_TARGETS = 8;
-/** Share of the time until callers abandon a stream that is used, so that a failure reaches them before they do. */
-const SILENCE_SHARE = 0.92;
+/** Time beyond that, so that it is the caller who ends a stream on which nothing else can go on. */
+const SILENCE_MARGIN_MS = 250;
 /** Mean Retry-After when no engine is available: crashed engines restart within seconds. */
 const NO_ENGINE_RETRY_AFTER_MS = 1_500;
 /** Minimum time left for another round to be worthwhile: a prefill and a few events. */
@@ -81,7 +83,7 @@
                 reservations.releaseReservation(exchange, reservation);
                 return;
             }
-            const effect = await this.runRound(exchange, reservation, progress, skipPrefill);
+            const effect = await this.runRound(exchange, reservation, progress, skipPrefill, runs);
             this.queueOf(exchange.service).onCapacityFreed();
             if (effect === undefined || exchange.isOver) {
                 return;
@@ -105,6 +107,17 @@
         }
     }
 
+    /** Whether another engine may go on with a stream that breaks off in its given run. */
+    private mayGoOnElsewhere(exchange: exchanges.Exchange, runs: number): boolean {
+        return exchange.remainingRetries > 0 && dispatch.mayRetry({
+            route: exchange.route,
+            effect: dispatch.SendEffect.MayHaveRun,
+            runs,
+            responseStarted: true,
+            hasTimeLeft: exchange.remainingMs > MIN_REMAINING_MS,
+        });
+    }
+
     private queueOf(service: string): queues.CapacityQueue {
         const queue = this.queues.get(service) ?? new queues.CapacityQueue(this.context.scope, this.context.clock);
         this.queues.set(service, queue);
@@ -117,6 +130,7 @@
         reservation: reservations.Reservation,
         progress: relays.StreamProgress,
         skipPrefill: boolean,
+        previousRuns: number,
     ): Promise<dispatch.SendEffect | undefined> {
         const { candidate } = reservation;
         candidate.health.inFlight++;
@@ -140,7 +154,7 @@
             if (!this.context.pool.acceptsWork(candidate.upstream, this.context.clock())) {
                 return this.abandonDrainingEngine(exchange, reservation, prefill);
             }
-            return await this.decode(exchange, reservation, prefill, progress);
+            return await this.decode(exchange, reservation, prefill, progress, previousRuns);
         }
         finally {
             candidate.health.inFlight--;
@@ -166,10 +180,11 @@
         reservation: reservations.Reservation,
         prefill: prefills.PrefillResult | undefined,
         progress: relays.StreamProgress,
+        previousRuns: number,
     ): Promise<dispatch.SendEffect | undefined> {
         const mayHaveRun = exchange.mayHaveRun;
         exchange.mayHaveRun = true;
-        const silenceMs = silenceLimitMs(exchange.route);
+        const silenceMs = silenceLimitMs(exchange.route, this.mayGoOnElsewhere(exchange, previousRuns + 1));
         const sent = await sends.sendRequest(exchange, reservation.candidate, {
             call: "decode",
             headersTimeoutMs: silenceMs,
@@ -315,12 +330,12 @@
     }
 }
 
-/** Silence after which a stream is considered dead: just before its caller would abandon it. */
-function silenceLimitMs(route: routing.Route): decision.Milliseconds {
+/** Silence after which an engine's answer is given up. */
+function silenceLimitMs({ latencyTargetMs, eventGapTargetMs }: routing.Route, mayGoOn: boolean): decision.Milliseconds {
     const abandonAfterMs = Math.max(
-        MIN_SILENCE_MS,
-        SILENT_LATENCY_TARGETS * route.latencyTargetMs,
-        SILENT_GAP_TARGETS * (route.eventGapTargetMs ?? 0),
+        MIN_CALLER_SILENCE_MS,
+        SILENT_LATENCY_TARGETS * latencyTargetMs,
+        SILENT_GAP_TARGETS * (eventGapTargetMs ?? 0),
     );
-    return route.resumable ? MIN_SILENCE_MS : abandonAfterMs * SILENCE_SHARE;
+    return mayGoOn ? FAILOVER_SILENCE_MS : abandonAfterMs + SILENCE_MARGIN_MS;
 }
--- a/packages/gateway/test/silence.test.ts
+++ b/packages/gateway/test/silence.test.ts
@@ -4,6 +4,8 @@
 
 /** How long sound upstreams may be silent. */
 const SILENCE_MS = 1_200;
+/** Callers of routes with short latency targets abandon a stream after two seconds. */
+const ALMOST_ABANDONED_MS = 1_950;
 const EVENTS = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
 
 describe("Upstreams that are silent for a second and go on", () => {
@@ -39,6 +41,33 @@
             .to.include({ status: 200, body: EVENTS.join(""), complete: true });
     });
 
+    for (
+        const [what, path, breaks] of [
+            ["that may not go on elsewhere", "/write/1", 0],
+            ["on its last attempt", "/resume/1", 1],
+        ] as const
+    ) {
+        it(`lose no stream ${what} before its caller abandons it`, async () => {
+            let left = breaks;
+            onRun(({ headers: { "last-event-id": lastEventId } }, response) => {
+                response.writeHead(200, {
+                    "request-id": "r-1",
+                    "signature": "s",
+                    "content-type": "text/event-stream",
+                });
+                const rest = EVENTS.slice(Number(lastEventId ?? 0));
+                if (left-- > 0) {
+                    response.write(EVENTS[0], () => response.destroy());
+                    return;
+                }
+                response.write(rest[0]);
+                setTimeout(() => response.end(rest.slice(1).join("")), ALMOST_ABANDONED_MS);
+            });
+            chai.expect(await fixture.send({ path, headers }))
+                .to.include({ status: 200, body: EVENTS.join(""), complete: true });
+        });
+    }
+
     it("lose no stream at its end, if only the connection ends it", async () => {
         onRun((received, response) => {
             if (received.path === "/state") {
