Log: what a stream that broke off goes on with

The log could not tell the hypotheses on streams with another answer apart: `steps` have the statuses of both answers, but neither the point from which the stream goes on nor the type and length of the answer that it goes on with. One line for each answer to a request with the id of a last event; there are few.

--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -216,6 +216,18 @@
     ): Promise<dispatch.SendEffect | undefined> {
         const { response, metadata } = sent;
         const status = response.statusCode ?? 502;
+        if (progress.lastEventId !== undefined) {
+            this.context.log.decision("answer to go on in a stream", {
+                requestId: exchange.metadata.requestId,
+                service: exchange.service,
+                upstream: reservation.candidate.upstream.id,
+                lastEventId: progress.lastEventId,
+                passedEvents: exchange.relayedEvents,
+                status,
+                contentType: response.headers["content-type"],
+                contentLength: response.headers["content-length"],
+            });
+        }
         if (status !== 200) {
             return this.relayFailure(exchange, response, status);
         }
