--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -18,4 +18,5 @@
 export * from "./retry.js";
 export * from "./stages.js";
 export * from "./stopping.js";
+export * from "./streamsequence.js";
 export * from "./versions.js";
