Streams go on with their own events only

Cause: whatever came with status 200 and a signature was taken for the rest of the stream.

relayResponse asks StreamSequence about the head, relayEvents about each event and the end. What has no place in the stream is not passed on; the engine's answer counts as failed, the log says why, and the stream goes on at another engine within attempts, budget and deadline, or is broken off. A stream whose last event has no numeric id, or whose ids went back, goes on nowhere: going on would repeat events. An answer with events of none, whole by its framing, no longer ends a streaming response as complete. The first answer on a stream stays the engine's own otherwise.

The stand-in wire format drops the caller's last event id where the gateway sets it, as that of platform/ does; both were sent.

--- a/packages/gateway/src/model/continuation.ts
+++ b/packages/gateway/src/model/continuation.ts
@@ -1,5 +1,6 @@
 import type * as decision from "@citronlead/decision";
-import type * as routing from "@citronlead/routing";
+import * as dispatch from "@citronlead/dispatch";
+import * as routing from "@citronlead/routing";
 import type * as contexts from "../context.js";
 import * as exchanges from "../exchange.js";
 import type * as relays from "./relay.js";
@@ -19,7 +20,11 @@
     async startProgress(exchange: exchanges.Exchange): Promise<relays.StreamProgress | undefined> {
         const { metadata, route, service } = exchange;
         const { pool, streamVersions } = this.context;
-        const progress = { lastEventId: metadata.lastEventId, softwareVersion: undefined };
+        const sequence = new dispatch.StreamSequence(
+            route.kind === routing.RouteKind.Streaming,
+            route.resumable ? metadata.lastEventId : undefined,
+        );
+        const progress = { sequence, softwareVersion: undefined };
         if (!route.resumable) {
             return progress;
         }
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -28,6 +28,8 @@
 const SILENCE_MARGIN_MS = 250;
 /** Mean Retry-After when no engine is available: crashed engines restart within seconds. */
 const NO_ENGINE_RETRY_AFTER_MS = 1_500;
+/** Lowest status with which an engine reports a failure of its own. */
+const MIN_FAILURE_STATUS = 500;
 /** Minimum time left for another round to be worthwhile: a prefill and a few events. */
 const MIN_REMAINING_MS = 400;
 
@@ -190,7 +192,7 @@
             headersTimeoutMs: silenceMs,
             prefillSource: prefill?.source,
             reservation: reservation.id,
-            resumeAfterEventId: progress.lastEventId,
+            resumeAfterEventId: progress.sequence.lastEventId ?? exchange.metadata.lastEventId,
         });
         if (sent.kind === sends.SendKind.NotRun) {
             exchange.mayHaveRun = mayHaveRun;
@@ -215,25 +217,33 @@
         silenceMs: decision.Milliseconds,
     ): Promise<dispatch.SendEffect | undefined> {
         const { response, metadata } = sent;
+        const { sequence } = progress;
         const status = response.statusCode ?? 502;
-        if (progress.lastEventId !== undefined) {
+        if (sequence.lastEventId !== undefined) {
             this.context.log.decision("answer to go on in a stream", {
                 requestId: exchange.metadata.requestId,
                 service: exchange.service,
                 upstream: reservation.candidate.upstream.id,
-                lastEventId: progress.lastEventId,
+                lastEventId: sequence.lastEventId,
                 passedEvents: exchange.relayedEvents,
                 status,
                 contentType: response.headers["content-type"],
                 contentLength: response.headers["content-length"],
             });
         }
-        if (status !== 200) {
-            return this.relayFailure(exchange, response, status);
+        const problem = sequence.beginAnswer({
+            status,
+            signed: metadata.signed,
+            contentEncoding: response.headers["content-encoding"],
+            contentType: response.headers["content-type"],
+            responseStarted: exchange.response.headersSent,
+        });
+        if (problem === dispatch.StreamProblem.Status) {
+            return this.relayFailure(exchange, reservation, sequence, response);
         }
-        if (!metadata.signed || response.headers["content-encoding"] !== undefined) {
+        if (problem !== undefined) {
             response.destroy();
-            return dispatch.SendEffect.MayHaveRun;
+            return this.rejectAnswer(exchange, reservation, sequence);
         }
         const startedAt = this.context.clock();
         const relayedBefore = exchange.relayedEvents;
@@ -261,7 +271,10 @@
         if (end === relays.RelayEnd.OutOfBounds) {
             reservation.candidate.health.record(dispatch.SendResult.Failed, this.context.clock());
             exchange.recordCall("events", upstream, "beyond the accepted size or rate", this.context.clock());
-            return dispatch.SendEffect.MayHaveRun;
+            return this.endUnlessContinuable(exchange, sequence);
+        }
+        if (end === relays.RelayEnd.Rejected) {
+            return this.rejectAnswer(exchange, reservation, sequence);
         }
         if (end !== relays.RelayEnd.Broken) {
             return undefined;
@@ -274,6 +287,42 @@
             decoding: true,
             events: exchange.relayedEvents - relayedBefore,
         });
+        return this.endUnlessContinuable(exchange, sequence);
+    }
+
+    /** Counts an answer that has no place in the stream as a failure of its engine, unless its status was counted as one. */
+    private rejectAnswer(
+        exchange: exchanges.Exchange,
+        { candidate }: reservations.Reservation,
+        sequence: dispatch.StreamSequence,
+        isCounted = false,
+    ): dispatch.SendEffect | undefined {
+        const { clock, log } = this.context;
+        const { problem } = sequence;
+        if (!isCounted) {
+            candidate.health.record(dispatch.SendResult.Failed, clock());
+        }
+        exchange.recordCall("events", candidate.upstream, `rejected: ${problem}`, clock());
+        log.decision("answer has no place in a stream", {
+            requestId: exchange.metadata.requestId,
+            service: exchange.service,
+            upstream: candidate.upstream.id,
+            lastEventId: sequence.lastEventId,
+            passedEvents: exchange.relayedEvents,
+            reason: problem,
+        });
+        return this.endUnlessContinuable(exchange, sequence);
+    }
+
+    /** Ends a response that no other engine can go on with. Undefined if it is over. */
+    private endUnlessContinuable(
+        exchange: exchanges.Exchange,
+        sequence: dispatch.StreamSequence,
+    ): dispatch.SendEffect | undefined {
+        if (exchange.response.headersSent && !sequence.mayGoOn) {
+            exchange.refuse({ status: 502, reason: exchanges.FinalReason.ResponseLost });
+            return undefined;
+        }
         return dispatch.SendEffect.MayHaveRun;
     }
 
@@ -285,20 +334,25 @@
         this.context.outputForecast.observe(route.name, relayedEvents * (engine?.tokensPerEvent ?? 1), outputBounds);
     }
 
-    /** Relays an engine's error response, unless a retry is allowed. */
+    /** Relays an engine's error response, unless a retry is allowed or a stream has begun. */
     private async relayFailure(
         exchange: exchanges.Exchange,
+        reservation: reservations.Reservation,
+        sequence: dispatch.StreamSequence,
         response: Extract<sends.SendOutcome, { kind: sends.SendKind.Response; }>["response"],
-        status: number,
     ): Promise<dispatch.SendEffect | undefined> {
+        const status = response.statusCode ?? 502;
         const body = await calls.readBody(response, exchange.remainingMs);
         if (exchange.isOver) {
             return undefined;
         }
-        if (!body || exchange.response.headersSent || (status >= 200 && status < 300)) {
+        if (exchange.response.headersSent) {
+            return this.rejectAnswer(exchange, reservation, sequence, status >= MIN_FAILURE_STATUS);
+        }
+        if (!body || (status >= 200 && status < 300)) {
             return dispatch.SendEffect.MayHaveRun;
         }
-        if (exchange.route.resumable && exchange.route.maxAttempts > 1 && status >= 500) {
+        if (exchange.route.resumable && exchange.route.maxAttempts > 1 && status >= MIN_FAILURE_STATUS) {
             return dispatch.SendEffect.RanAndFailed;
         }
         const framed = calls.isFramed(response);
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -1,5 +1,6 @@
 import * as bodies from "@citronlead/bodies";
 import * as decision from "@citronlead/decision";
+import type * as dispatch from "@citronlead/dispatch";
 import type * as http from "node:http";
 import * as background from "../background.js";
 import * as exchanges from "../exchange.js";
@@ -15,13 +16,15 @@
     Broken = "broken",
     /** The upstream sent an event, or a number of pieces, beyond what is accepted; the caller's response is still open. */
     OutOfBounds = "outOfBounds",
+    /** The upstream sent what has no place in the stream (`StreamSequence.problem`); the caller's response is still open. */
+    Rejected = "rejected",
     /** The caller has its final response or has disconnected. */
     Over = "over",
 }
 
 /** What has been relayed of a stream, across all upstreams that produced it. */
 export interface StreamProgress {
-    lastEventId: string | undefined;
+    readonly sequence: dispatch.StreamSequence;
     /** Software version of the upstream that began it; undefined before the first event. */
     softwareVersion: string | undefined;
 }
@@ -40,13 +43,16 @@
 export function relayEvents(
     exchange: exchanges.Exchange,
     source: http.IncomingMessage,
-    progress: StreamProgress,
+    { sequence }: StreamProgress,
     silenceMs: decision.Milliseconds,
     confirmEnd: () => Promise<boolean>,
     onEvents: () => void,
 ): Promise<RelayEnd> {
     const { context, response } = exchange;
-    const splitter = new events.EventSplitter();
+    const splitter = new events.EventSplitter({
+        acceptsEvent: (id) => sequence.addEvent(id),
+        passesComments: () => sequence.passesComments,
+    });
     const eventsBefore = exchange.relayedEvents;
     const pieces = new decision.TokenBucket(STREAM_PIECES, context.clock());
     let started = false;
@@ -74,7 +80,7 @@
         const onAbort = () => source.destroy();
         exchange.signal.addEventListener("abort", onAbort);
         const onData = (bytes: Buffer) => {
-            if (exchange.isOver || outOfBounds) {
+            if (exchange.isOver || outOfBounds || splitter.isRejected) {
                 return;
             }
             if (!pieces.tryTake(context.clock())) {
@@ -93,7 +99,9 @@
                     started = true;
                     context.quarantine.recordStarted(exchange);
                 }
-                progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
+            }
+            if (splitter.isRejected) {
+                source.destroy();
             }
             else if (splitter.remainder.length > MAX_EVENT_BYTES || splitter.remainderPieces > MAX_EVENT_PIECES) {
                 outOfBounds = true;
@@ -115,6 +123,10 @@
                 resolve(RelayEnd.Over);
                 return;
             }
+            if (splitter.isRejected || (whole && sequence.endAnswer(splitter.isBetweenEvents) !== undefined)) {
+                resolve(RelayEnd.Rejected);
+                return;
+            }
             if (!whole) {
                 resolve(outOfBounds ? RelayEnd.OutOfBounds : RelayEnd.Broken);
                 return;
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -46,7 +46,10 @@
             ["reservation", forwarding.reservation],
             ["last-event-id", forwarding.resumeAfterEventId],
         ];
-        const headers = gateway.endToEndHeaders(callerHeaders, SYSTEM_HEADERS);
+        const dropped = forwarding.resumeAfterEventId === undefined
+            ? SYSTEM_HEADERS
+            : new Set([...SYSTEM_HEADERS, "last-event-id"]);
+        const headers = gateway.endToEndHeaders(callerHeaders, dropped);
         added.forEach(([name, value]) => value !== undefined && headers.push(name, value));
         return headers;
     },
