--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -56,6 +56,16 @@
         chai.expect(await send()).to.include({ status: 429 }).and.to.have.nested.property("headers.retry-after", "700");
     });
 
+    it("asks another host if one stops and has not run the request, and only then", async () => {
+        const [first, second] = others as [fixtures.StandIn, fixtures.StandIn];
+        second.behave = serve;
+        first.behave = refuse(503, "hostStopping", 50);
+        chai.expect([(await send()).status, (await send()).status]).to.deep.equal([200, 200]);
+        others.forEach((other) => other.behave = refuse(502, "hostStopping", 50));
+        chai.expect((await send()).status).to.equal(502);
+        chai.expect(received().length).to.equal(1);
+    });
+
     it("promises nothing if the other host's response is lost", async () => {
         others.forEach((other) => other.behave = (_, __, request) => request.socket.resetAndDestroy());
         chai.expect((await send()).status).to.equal(502);
--- a/packages/gateway/test/stopping.test.ts
+++ b/packages/gateway/test/stopping.test.ts
@@ -105,25 +105,47 @@
 const FIRST_STREAM_MS = 1_300;
 const LATE_STREAM_MS = 2_000;
 const NEW_STREAM_MS = 3_000;
+const EVENT_INTERVAL_MS = 200;
+const FOREVER_MS = 60_000;
+const STOP_PERIOD_MS = 3_000;
+const SETTLE_MS = 200;
+/** Time between a response and the next request of its caller. */
+const FOLLOWING_MS = 300;
+
+/** A configuration whose routes have another timeout. */
+function withTimeout(timeoutMs: number): routing.RoutingConfiguration {
+    const configuration = fixtures.makeConfiguration({ version: 2 });
+    return { ...configuration, routes: configuration.routes.map((route) => ({ ...route, timeoutMs })) };
+}
 
 // Guards against streams that a stopping gateway begins and cuts (docs/incidents/armor-rdv-cut-at-a-stop.md).
 describe("A stopping gateway, and streams that it has no time to finish", () => {
     let fixture: fixtures.Fixture;
+    let counter: fixtures.StandIn;
     let ran: string[];
+    let isFull: boolean;
 
     beforeEach(async () => {
         fixture = new fixtures.Fixture(PORT_OFFSET);
         ran = [];
+        isFull = false;
+        counter = await fixture.addStandIn("counter");
         const engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
         engine.behave = ({ path, headers }, response) => {
             if (path.startsWith("/reserve")) {
-                response.end(JSON.stringify({ id: "reservation" }));
+                response.writeHead(isFull ? 503 : 200).end(JSON.stringify({ id: "reservation" }));
                 return;
             }
             ran.push(String(headers["request-id"]));
             response.writeHead(200, { "signature": "s", "content-type": "text/event-stream" });
             response.write(EVENT);
-            lifecycle.after(fixture.scope, Number(path.split("/").at(-1)), () => response.end("id: 2\ndata: end\n\n"));
+            let eventCount = 1;
+            const timer = setInterval(() => response.write(`id: ${++eventCount}\ndata: a\n\n`), EVENT_INTERVAL_MS);
+            response.on("close", () => clearInterval(timer));
+            lifecycle.after(fixture.scope, Number(path.split("/").at(-1)), () => {
+                clearInterval(timer);
+                response.end(`id: ${++eventCount}\ndata: end\n\n`);
+            });
         };
         await fixture.start(fixtures.makeConfiguration());
     });
@@ -152,6 +174,73 @@
         }
     };
 
+    const endlessStream = (requestId: string) => stream(requestId, FOREVER_MS, testing.BodyFraming.WithLength);
+    const stopAfter = async (delayMs: number) => {
+        await lifecycle.pause(fixture.scope, delayMs);
+        const startedAt = Date.now();
+        await fixture.stop();
+        return Date.now() - startedAt;
+    };
+
+    it("refuses those that wait for capacity and have no time left", async () => {
+        isFull = true;
+        const caller = new Caller();
+        await caller.send(stream("waiting", LATE_STREAM_MS, testing.BodyFraming.WithLength));
+        const stopMs = await stopAfter(SETTLE_MS);
+        expectAnswer(caller, "waiting");
+        chai.expect(stopMs).to.be.below(1_500);
+    });
+
+    it("answers a request whose body does not end", async () => {
+        const caller = new Caller();
+        const { headers } = stream("endless", LATE_STREAM_MS, testing.BodyFraming.WithLength);
+        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+        caller.socket.write(`POST /write/1 HTTP/1.1\r\n${lines}Content-Length: 40\r\n\r\nhalf`);
+        const stopMs = await stopAfter(SETTLE_MS);
+        await caller.closed;
+        expectAnswer(caller, "endless");
+        chai.expect(stopMs).to.be.below(STOP_PERIOD_MS);
+    });
+
+    it("promises nothing of a request that an upstream may have run, in the last moment", async () => {
+        fixture.configuration = withTimeout(FOREVER_MS);
+        counter.behave = () => undefined;
+        await lifecycle.pause(fixture.scope, SETTLE_MS);
+        const caller = new Caller();
+        const { headers, ...rest } = endlessStream("booking");
+        await caller.send({ ...rest, headers, path: "/book/1" });
+        await stopAfter(SETTLE_MS);
+        await caller.closed;
+        const response = caller.responseWith("request-id: booking");
+        chai.expect(response).to.include({ status: 502, isWhole: true });
+    });
+
+    it("lets no stream that is cut look complete, and ends in time whatever a reload says", async () => {
+        const caller = new Caller();
+        await caller.send(endlessStream("long"));
+        await caller.waitFor("data: a");
+        const startedAt = Date.now();
+        const stopped = fixture.stop();
+        fixture.gateway.reload({ ...fixture.settings, stopPeriodMs: FOREVER_MS });
+        await stopped;
+        chai.expect(Date.now() - startedAt).to.be.below(STOP_PERIOD_MS);
+        await caller.closed;
+        chai.expect(caller.responseWith("request-id: long")).to.include({ status: 200, isWhole: false });
+    });
+
+    it("answers a request that follows a while after a stream, once it stops accepting", async () => {
+        const caller = new Caller();
+        await caller.send(stream("first", FIRST_STREAM_MS, testing.BodyFraming.WithLength));
+        await caller.waitFor("data: a");
+        void fixture.stop();
+        await caller.waitFor("data: end");
+        await lifecycle.pause(fixture.scope, FOLLOWING_MS);
+        const { headers, ...rest } = endlessStream("booking");
+        await caller.send({ ...rest, headers, path: "/book/1" });
+        await caller.closed;
+        chai.expect(caller.responseWith("request-id: booking")).to.include({ status: 200, isWhole: true });
+    });
+
     for (const framing of Object.values(testing.BodyFraming)) {
         it(`cuts none that comes late on a kept connection, ${framing}`, async () => {
             const caller = new Caller();
