Take an answer in an unknown transfer coding for malformed

What callers saw: a 200 with an empty or short body, with a Content-Length or in chunks as if it were whole; a stream that ended as complete without events, or after those before it went on at another engine.

Cause: a head that stops inside "Transfer-Encoding: chunked" and then ends ("Transfer-Encoding: chun") makes Node's client read the body up to the close, by FIN or reset, and call it complete. isFramed took any Transfer-Encoding for a known end, so that nobody asked whether the upstream still ran. The same for codings such as gzip, whose bytes were passed on as the plain body.

Cuts before the blank line showed no fault: Node's parser reports an error, and the callers got 502 after one run, or a whole answer of another upstream.

Why it works: we send no TE, so that chunked alone is allowed (RFC 9112, 7.4). findMalformedHead refuses the rest where heads arrive, before anything looks at a body.

--- a/packages/gateway/src/head.ts
+++ b/packages/gateway/src/head.ts
@@ -31,5 +31,16 @@
 ): string | undefined {
     return statusCode < MIN_FINAL_STATUS || statusCode > MAX_STATUS
         ? `malformed status ${statusCode}`
-        : findMalformedHeader(rawHeaders);
+        : findMalformedHeader(rawHeaders) ?? findUnknownTransferCoding(rawHeaders);
+}
+
+/** A transfer coding other than chunks. Node's parser reads a body in one up to the close, as if it were whole then. */
+function findUnknownTransferCoding(rawHeaders: readonly string[]): string | undefined {
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const value = rawHeaders[index + 1] ?? "";
+        if (rawHeaders[index]?.toLowerCase() === "transfer-encoding" && value.trim().toLowerCase() !== "chunked") {
+            return `unknown transfer coding ${JSON.stringify(value)}`;
+        }
+    }
+    return undefined;
 }
