Relay no answer of another host that names no length and is not in chunks

What callers saw: with no upstream in reach, a 200 with an empty or short body in chunks that ended as complete.

Cause: the answer of the host that served the request was begun in chunks whatever its framing, and counted as whole if its connection ended by FIN.

Why it works: the head decides before anything is sent to the caller.

--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -98,6 +98,12 @@
             if (!UNABLE_REASONS.has(refusal?.reason ?? "")) {
                 this.relayHosts.recordAble(host);
             }
+            // Hosts frame what they send each other, so that without framing the head is not whole.
+            if (refusal === undefined && !calls.isFramed(response)) {
+                response.destroy();
+                exchange.refuse({ status: 502, reason: exchanges.FinalReason.ResponseLost });
+                return RelayAnswer.Final;
+            }
             if (refusal === undefined) {
                 await relayResponse(exchange, response);
                 return RelayAnswer.Final;
--- a/packages/gateway/test/cutheads.test.ts
+++ b/packages/gateway/test/cutheads.test.ts
@@ -279,7 +279,9 @@
     after(() => fixture.close());
 
     it("do not look whole, and are no promise", async () => {
-        await cuts.forEachCase(mostCuts("r-20000", BODY), async ({ text, ...way }, index) => {
+        const withoutFraming = cuts.waysToSend(headOf("r-20000", "x: y"))
+            .concat(cuts.waysToSend(headOf("r-20000", "x: y") + BODY));
+        await cuts.forEachCase([...mostCuts("r-20000", BODY), ...withoutFraming], async ({ text, ...way }, index) => {
             const id = `r-${40_000 + index}`;
             const cut = { ...way, text: text.replaceAll("r-20000", id) };
             cutsLeft.set(id, cut);
--- a/packages/gateway/test/plain.test.ts
+++ b/packages/gateway/test/plain.test.ts
@@ -125,6 +125,19 @@
         chai.expect(response.headers).to.not.have.any.keys("content-length", "transfer-encoding");
     });
 
+    it("sends another host a response without framing in chunks, so that one that is cut is known", async () => {
+        const head = "HTTP/1.1 200 OK\r\nsignature: s\r\nrequest-id: r-1\r\nconnection: close\r\n\r\n";
+        both((received, response, request) =>
+            received.path === "/health" ? void response.end() : void request.socket.end(`${head}all of it`)
+        );
+        const response = await fixture.send({
+            port: fixture.settings.peers.port,
+            headers: { "citronlead-relay-request": JSON.stringify({ timeLeftMs: 900, configuration: 1 }) },
+        });
+        chai.expect(response).to.include({ status: 200, body: "all of it", complete: true });
+        chai.expect(response.headers).to.include({ "transfer-encoding": "chunked" });
+    });
+
     it("does not reuse a connection on which a second response arrived", async () => {
         both((_received, _response, request) => {
             const firstResponse =
