Take an answer that Node's parser refuses for malformed, not for a crash

What callers saw: after three upstreams had sent bytes that are no head in answer to the same request, that request got 503 (barred), also from sound upstreams.

Cause: startCall called every error before the response headers Broken, which is how a crash looks, and reported it to the quarantine.

Evidence: three tests of "Bytes that are no head" failed before with 503 where 200 was expected, and pass now, as do the tests of endless, retries, unreachable and crashingparts.

Why it works: an error of the parser (HPE_*) means that bytes arrived and are wrong: the upstream runs, counts as one that answers badly, and bars nothing. A head that the close of its connection cuts has no such error (ECONNRESET) and stays Broken: an upstream that crashes while it answers looks just like that.

The ports of cutheads.test.ts move away from those of another test.

--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -63,6 +63,9 @@
 /** Maximum number of interim responses before the final one. */
 const MAX_INTERIM_RESPONSES = 16;
 
+/** Codes of errors of Node's parser; a head that the close of its connection cuts has another. */
+const PARSER_ERROR_PREFIX = "HPE_";
+
 /** Number of connections that were opened for one call; names the pool of each. */
 let ownConnections = 0;
 
@@ -111,7 +114,12 @@
                 connected = true;
             }
         });
-        request.on("error", (error) => reason ??= error.message);
+        request.on("error", (error: NodeJS.ErrnoException) => {
+            if (reason === undefined && error.code?.startsWith(PARSER_ERROR_PREFIX)) {
+                failure = CallFailure.Malformed;
+            }
+            reason ??= error.message;
+        });
         request.on("close", () => {
             clearTimeout(timer);
             call.signal?.removeEventListener("abort", onAbort);
--- a/packages/gateway/test/cutheads.test.ts
+++ b/packages/gateway/test/cutheads.test.ts
@@ -44,7 +44,7 @@
 // Guards against callers who get an empty or short success after an upstream stopped inside its head.
 describe("Answers that stop in the middle of their head", function() {
     this.timeout(60_000);
-    const fixture = new fixtures.Fixture(3_460);
+    const fixture = new fixtures.Fixture(3_860);
     fixture.retries = { ratio: 1, extra: 100_000, windowMs: 10_000 };
     const headers = { "prompt-tokens": "10", "output-tokens": "10" };
     const cutSockets = new WeakSet<net.Socket>();
--- a/packages/gateway/test/malformedheads.test.ts
+++ b/packages/gateway/test/malformedheads.test.ts
@@ -87,3 +87,37 @@
         }
     });
 });
+
+// Guards against sound requests that are barred because upstreams sent garbage in place of their answers.
+describe("Bytes that are no head", () => {
+    let fixture: fixtures.Fixture;
+    let standIns: fixtures.StandIn[];
+    const garbage = ["garbage\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"];
+    const CALLS = 12;
+
+    beforeEach(async () => {
+        fixture = new fixtures.Fixture(3_760);
+        standIns = [];
+        for (const id of ["one", "two", "three", "four"]) {
+            standIns.push(await fixture.addStandIn(id));
+        }
+        await fixture.start(fixtures.makeConfiguration());
+    });
+    afterEach(() => fixture.close());
+
+    for (const text of garbage) {
+        it(`do not bar requests: ${JSON.stringify(text)}`, async () => {
+            standIns.forEach((standIn) => standIn.behave = (_, __, request) => void request.socket.end(text));
+            for (let call = 0; call < CALLS; call++) {
+                chai.expect((await fixture.send()).status).to.equal(502);
+            }
+            chai.expect(standIns.filter(({ received }) => received.length > 0).length).to.be.at.least(3);
+            // Crashes are reviewed a moment after the report.
+            await new Promise((resolve) => setTimeout(resolve, 200));
+            standIns.forEach((standIn) =>
+                standIn.behave = (received, response) => fixtures.signed(response, received, "done")
+            );
+            chai.expect(await fixture.send()).to.include({ status: 200, body: "done" });
+        });
+    }
+});
