Streams: one that has begun goes on to its caller's deadline

Test in silence.test: its engine saw the longest of five streams with a deadline of 600 ms closed after 566 ms before, after more than 585 ms now.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -73,7 +73,7 @@
     readonly latencyTargetAt: decision.Milliseconds;
     readonly callRecords: CallRecord[] = [];
     private readonly abortController = new AbortController();
-    private readonly deadlineTimer: NodeJS.Timeout;
+    private deadlineTimer: NodeJS.Timeout;
     readonly expectedOutput: dispatch.OutputLength;
     /** Whether another host has relayed it. */
     readonly isRelayed: boolean;
@@ -376,6 +376,11 @@
     }
 
     private onDeadline(): void {
+        // The margin is for a final response that has to reach its caller; a stream that has begun goes on to the end.
+        if (this.response.headersSent && !this.finished) {
+            this.deadlineTimer = setTimeout(() => this.abortResponse(FinalReason.TimedOut), RESPONSE_MARGIN_MS);
+            return;
+        }
         this.refuse({ status: this.mayHaveRun ? 504 : 503, reason: FinalReason.TimedOut, retryAfterMs: 0 });
     }
 
--- a/packages/gateway/test/silence.test.ts
+++ b/packages/gateway/test/silence.test.ts
@@ -1,3 +1,4 @@
+import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import * as chai from "chai";
 import * as fixtures from "./fixture.js";
@@ -68,6 +69,22 @@
         });
     }
 
+    it("lose no stream that goes on until its caller's deadline", async () => {
+        const lastedMs: number[] = [];
+        onRun((_, response) => {
+            const startedAt = lifecycle.monotonicClock();
+            response.on("close", () => lastedMs.push(lifecycle.monotonicClock() - startedAt));
+            response.writeHead(200, { "request-id": "r-1", "signature": "s", "content-type": "text/event-stream" });
+            response.write(EVENTS[0]);
+        });
+        for (let count = 0; count < 5; count++) {
+            const response = await fixture.send({ path: "/write/1", headers: { ...headers, patience: "600" } });
+            chai.expect(response).to.include({ status: 200, body: EVENTS[0], complete: false });
+        }
+        // Runs begin some milliseconds after their requests arrive.
+        chai.expect(Math.max(...lastedMs)).to.be.above(585);
+    });
+
     it("lose no stream at its end, if only the connection ends it", async () => {
         onRun((received, response) => {
             if (received.path === "/state") {
