--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -17,7 +17,7 @@
 /** Maximum number of rounds of reservation, prefill and decode for one request. */
 const MAX_ROUNDS = 3;
 /** Silence after which a stream goes on at another engine; callers wait longer for an event. */
-const FAILOVER_SILENCE_MS = 1_900;
+const TAKEOVER_SILENCE_MS = 1_900;
 /** Shortest silence after which callers abandon a stream. */
 const MIN_CALLER_SILENCE_MS = 2_000;
 /** Number of latency targets without an event after which callers abandon a stream. */
@@ -109,15 +109,26 @@
         }
     }
 
-    /** Whether another engine may go on with a stream that breaks off in its given run. */
-    private mayGoOnElsewhere(exchange: exchanges.Exchange, runs: number): boolean {
-        return exchange.remainingRetries > 0 && dispatch.mayRetry({
-            route: exchange.route,
-            effect: dispatch.SendEffect.MayHaveRun,
-            runs,
-            responseStarted: true,
-            hasTimeLeft: exchange.remainingMs > MIN_REMAINING_MS,
-        });
+    /** Whether another engine can go on with a stream now, after the given number of runs. */
+    private canTakeOver(
+        exchange: exchanges.Exchange,
+        progress: relays.StreamProgress,
+        current: routing.Upstream,
+        runs: number,
+    ): boolean {
+        const isOther = ({ upstream }: dispatch.Candidate) =>
+            routing.incarnationOf(upstream) !== routing.incarnationOf(current)
+            && this.continuation.mayProduce(exchange, progress, upstream);
+        return progress.sequence.mayGoOn
+            && exchange.remainingRetries > 0
+            && dispatch.mayRetry({
+                route: exchange.route,
+                effect: dispatch.SendEffect.MayHaveRun,
+                runs,
+                responseStarted: exchange.response.headersSent,
+                hasTimeLeft: exchange.remainingMs > MIN_REMAINING_MS,
+            })
+            && this.context.pool.candidates(exchange.service, this.context.clock()).some(isOther);
     }
 
     private queueOf(service: string): queues.CapacityQueue {
@@ -186,10 +197,14 @@
     ): Promise<dispatch.SendEffect | undefined> {
         const mayHaveRun = exchange.mayHaveRun;
         exchange.mayHaveRun = true;
-        const silenceMs = silenceLimitMs(exchange.route, this.mayGoOnElsewhere(exchange, previousRuns + 1));
+        const silence: relays.SilenceLimits = {
+            takeoverMs: TAKEOVER_SILENCE_MS,
+            abandonedMs: abandonedMs(exchange.route),
+            canTakeOver: () => this.canTakeOver(exchange, progress, reservation.candidate.upstream, previousRuns + 1),
+        };
         const sent = await sends.sendRequest(exchange, reservation.candidate, {
             call: "decode",
-            headersTimeoutMs: silenceMs,
+            headersTimeoutMs: silence.canTakeOver() ? silence.takeoverMs : silence.abandonedMs,
             prefillSource: prefill?.source,
             reservation: reservation.id,
             resumeAfterEventId: progress.sequence.lastEventId ?? exchange.metadata.lastEventId,
@@ -206,7 +221,7 @@
         if (sent.kind === sends.SendKind.Lost) {
             return dispatch.SendEffect.MayHaveRun;
         }
-        return this.relayResponse(exchange, sent, reservation, progress, silenceMs);
+        return this.relayResponse(exchange, sent, reservation, progress, silence);
     }
 
     private async relayResponse(
@@ -214,7 +229,7 @@
         sent: Extract<sends.SendOutcome, { kind: sends.SendKind.Response; }>,
         reservation: reservations.Reservation,
         progress: relays.StreamProgress,
-        silenceMs: decision.Milliseconds,
+        silence: relays.SilenceLimits,
     ): Promise<dispatch.SendEffect | undefined> {
         const { response, metadata } = sent;
         const { sequence } = progress;
@@ -252,7 +267,7 @@
             exchange,
             response,
             progress,
-            silenceMs,
+            silence,
             () => liveness.isStillRunning(this.context, upstream),
             () => {
                 if (progress.softwareVersion === undefined && exchange.route.resumable) {
@@ -396,12 +411,11 @@
     }
 }
 
-/** Silence after which an engine's answer is given up. */
-function silenceLimitMs({ latencyTargetMs, eventGapTargetMs }: routing.Route, mayGoOn: boolean): decision.Milliseconds {
-    const abandonAfterMs = Math.max(
+/** Silence after which the callers of a route have abandoned a stream. */
+function abandonedMs({ latencyTargetMs, eventGapTargetMs }: routing.Route): decision.Milliseconds {
+    return SILENCE_MARGIN_MS + Math.max(
         MIN_CALLER_SILENCE_MS,
         SILENT_LATENCY_TARGETS * latencyTargetMs,
         SILENT_GAP_TARGETS * (eventGapTargetMs ?? 0),
     );
-    return mayGoOn ? FAILOVER_SILENCE_MS : abandonAfterMs + SILENCE_MARGIN_MS;
 }
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -36,15 +36,25 @@
 /** Pieces of a stream: far more than any engine writes, and what a stream may have waiting after a pause of this process. */
 export const STREAM_PIECES: decision.TokenRate = { burst: 16_384, perSecond: 2_000 };
 
+/** How long an upstream may be silent. */
+export interface SilenceLimits {
+    /** Silence after which another upstream takes over, if one can. */
+    readonly takeoverMs: decision.Milliseconds;
+    /** Silence after which the answer is given up. */
+    readonly abandonedMs: decision.Milliseconds;
+    /** Whether another upstream can take over now. */
+    readonly canTakeOver: () => boolean;
+}
+
 /**
- * Relays complete events as they arrive, until the stream ends, breaks or is silent for `silenceMs`. `confirmEnd` says
+ * Relays complete events as they arrive, until the stream ends, breaks or is silent for too long. `confirmEnd` says
  * whether the end of a stream without framing was meant by its upstream; `onEvents` is called before events are relayed.
  */
 export function relayEvents(
     exchange: exchanges.Exchange,
     source: http.IncomingMessage,
     { sequence }: StreamProgress,
-    silenceMs: decision.Milliseconds,
+    silence: SilenceLimits,
     confirmEnd: () => Promise<boolean>,
     onEvents: () => void,
 ): Promise<RelayEnd> {
@@ -62,10 +72,15 @@
             source.destroy();
             reject(error);
         };
-        let timer = setTimeout(onSilence, silenceMs);
-        function onSilence(): void {
-            source.destroy();
-        }
+        const waitForEvents = () =>
+            setTimeout(() => {
+                if (silence.canTakeOver()) {
+                    source.destroy();
+                    return;
+                }
+                timer = setTimeout(() => source.destroy(), silence.abandonedMs - silence.takeoverMs);
+            }, silence.takeoverMs);
+        let timer = waitForEvents();
         const forward = (bytes: Buffer) => {
             if (!response.headersSent) {
                 const relayedHeaders = headers.responseHeaders(source.rawHeaders, undefined);
@@ -91,7 +106,7 @@
             const completeEvents = splitter.push(bytes);
             if (completeEvents) {
                 clearTimeout(timer);
-                timer = setTimeout(onSilence, silenceMs);
+                timer = waitForEvents();
                 exchange.relayedEvents += splitter.lastEventCount;
                 onEvents();
                 forward(completeEvents);
