Plain requests: one that nothing else can serve is not cut to be sent elsewhere

Cause: the time for an attempt did not ask whether there is another upstream, or a retry in the budget.

--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -54,7 +54,10 @@
             break;
         }
         tried.add(routing.incarnationOf(candidate.upstream));
-        const isLastAttempt = route.kind !== routing.RouteKind.Idempotent || runs + 1 >= route.maxAttempts;
+        const isLastAttempt = route.kind !== routing.RouteKind.Idempotent
+            || runs + 1 >= route.maxAttempts
+            || exchange.remainingRetries < 1
+            || rankUntried(exchange, tried).length === 0;
         const effect = await sendOnce(
             exchange,
             candidate,
--- a/packages/gateway/test/patience.test.ts
+++ b/packages/gateway/test/patience.test.ts
@@ -6,12 +6,15 @@
 const LATENCY_TARGET_MS = 900;
 /** Callers abandon a stream after four latency targets without an event: 3.6 s. */
 const SILENCE_MS = 3_450;
+/** Longer than the 0.6 of the latency target after which an idempotent request is sent elsewhere. */
+const SLOW_MS = 800;
 
 // Guards against answers that the gateway ends while their upstream is silent and their caller waits.
 describe("A silent upstream, with no other that could take its place", () => {
     const fixture = new fixtures.Fixture(3_960);
     const headers = { "prompt-tokens": "500", "output-tokens": "100" };
     let engine: fixtures.StandIn;
+    let counter: fixtures.StandIn;
     const onRun = (behave: fixtures.Behaviour) => {
         engine.behave = (received, response, request) =>
             received.path === "/reserve" || received.method === "DELETE"
@@ -21,6 +24,7 @@
 
     before(async () => {
         engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
+        counter = await fixture.addStandIn("counter");
         const configuration = fixtures.makeConfiguration();
         const routes = configuration.routes.map((route) => ({
             ...route,
@@ -53,4 +57,10 @@
                 .to.include({ status: 200, body: EVENTS.join(""), complete: true });
         });
     }
+
+    it("does not end a request that may be repeated", async () => {
+        counter.behave = (received, response) =>
+            void setTimeout(() => fixtures.signed(response, received, "late"), SLOW_MS);
+        chai.expect(await fixture.send({ path: "/look/1" })).to.include({ status: 200, body: "late" });
+    });
 });
