Stops: answer a request that came while another of its connection was served

Cause: the first response had been made the last of the connection before the second request came. Callers of tests find a response that begins in the middle of a line, as one does after a body without a line's end.

--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -17,6 +17,8 @@
     /** The request that is being served. */
     current: Arrival | undefined;
     readonly waiting: Arrival[];
+    /** Whether the caller of that request keeps the connection open. */
+    callerKeepsAlive: boolean;
     /** When its latest response ended, or it was opened. */
     idleSince: decision.Milliseconds;
     /** Whether its last response has begun to end it: later requests cannot be answered. */
@@ -93,7 +95,13 @@
     }
 
     private add(socket: net.Socket): void {
-        this.connections.set(socket, { current: undefined, waiting: [], idleSince: this.clock(), ending: false });
+        this.connections.set(socket, {
+            current: undefined,
+            waiting: [],
+            callerKeepsAlive: true,
+            idleSince: this.clock(),
+            ending: false,
+        });
         socket.on("close", () => this.connections.delete(socket));
     }
 
@@ -109,6 +117,10 @@
             return;
         }
         connection.waiting.push(arrival);
+        const { response } = connection.current;
+        if (!response.headersSent) {
+            response.shouldKeepAlive = connection.callerKeepsAlive;
+        }
         // Those that wait are answered; the caller may send later ones again on a new connection.
         connection.ending = !this.keepAlive || connection.waiting.length >= MAX_WAITING;
     }
@@ -116,6 +128,7 @@
     private serve(socket: net.Socket, connection: Connection, arrival: Arrival): void {
         const { request, response } = arrival;
         connection.current = arrival;
+        connection.callerKeepsAlive = response.shouldKeepAlive;
         if ((!this.keepAlive || connection.ending) && connection.waiting.length === 0) {
             response.shouldKeepAlive = false;
         }
--- a/packages/testing/src/rawcaller.ts
+++ b/packages/testing/src/rawcaller.ts
@@ -74,7 +74,7 @@
 
     /** The responses so far, in turn. */
     get responses(): RawResponse[] {
-        const texts = this.received.split(/^(?=HTTP\/1\.1 \d{3} )/m).filter((text) => text !== "");
+        const texts = this.received.split(/(?=HTTP\/1\.1 \d{3} )/).filter((text) => text !== "");
         return texts.map((text) => {
             const headEnd = text.indexOf("\r\n\r\n") + 4;
             const [head, body] = [text.slice(0, headEnd), text.slice(headEnd)];
