Streams: an engine that is silent for nearly as long as callers wait is suspected

Since silence ends no answer before its caller leaves, nothing marked an engine that is gone without a reset: a call that its caller aborts says nothing of the engine (found by the reviewer, by reading). The silence is recorded as before now, at 0.92 of the callers' patience, while the answer is still waited for. Test in silence.test: without the record the next stream goes to the silent engine.

--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -24,7 +24,9 @@
 const SILENT_LATENCY_TARGETS = 4;
 /** Number of event gap targets without an event after which callers abandon a stream. */
 const SILENT_GAP_TARGETS = 8;
-/** Time beyond that, so that it is the caller who ends a stream on which nothing else can go on. */
+/** Share of the callers' patience after which a silent engine is suspected to be gone. */
+const SUSPECTED_SHARE = 0.92;
+/** Time beyond it, so that it is the caller who ends a stream on which nothing else can go on. */
 const SILENCE_MARGIN_MS = 250;
 /** Mean Retry-After when no engine is available: crashed engines restart within seconds. */
 const NO_ENGINE_RETRY_AFTER_MS = 1_500;
@@ -109,6 +111,33 @@
         }
     }
 
+    private silenceLimits(
+        exchange: exchanges.Exchange,
+        progress: relays.StreamProgress,
+        { upstream, health }: dispatch.Candidate,
+        runs: number,
+    ): relays.SilenceLimits {
+        const { clock, log, reachability } = this.context;
+        const patienceMs = callerPatienceMs(exchange.route);
+        return {
+            takeoverMs: TAKEOVER_SILENCE_MS,
+            suspectedMs: patienceMs * SUSPECTED_SHARE,
+            abandonedMs: patienceMs + SILENCE_MARGIN_MS,
+            canTakeOver: () => this.canTakeOver(exchange, progress, upstream, runs),
+            onSuspected: () => {
+                health.record(dispatch.SendResult.Unreachable, clock());
+                reachability.recordSilence(upstream);
+                log.decision("upstream silent", {
+                    requestId: exchange.metadata.requestId,
+                    upstream: upstream.id,
+                    service: exchange.service,
+                    silentMs: Math.round(patienceMs * SUSPECTED_SHARE),
+                    passedEvents: exchange.relayedEvents,
+                });
+            },
+        };
+    }
+
     /** Whether another engine can go on with a stream now, after the given number of runs. */
     private canTakeOver(
         exchange: exchanges.Exchange,
@@ -197,11 +226,8 @@
     ): Promise<dispatch.SendEffect | undefined> {
         const mayHaveRun = exchange.mayHaveRun;
         exchange.mayHaveRun = true;
-        const silence: relays.SilenceLimits = {
-            takeoverMs: TAKEOVER_SILENCE_MS,
-            abandonedMs: abandonedMs(exchange.route),
-            canTakeOver: () => this.canTakeOver(exchange, progress, reservation.candidate.upstream, previousRuns + 1),
-        };
+        const silence = this.silenceLimits(exchange, progress, reservation.candidate, previousRuns + 1);
+        const timer = setTimeout(silence.onSuspected, silence.suspectedMs);
         const sent = await sends.sendRequest(exchange, reservation.candidate, {
             call: "decode",
             headersTimeoutMs: silence.canTakeOver() ? silence.takeoverMs : silence.abandonedMs,
@@ -209,6 +235,7 @@
             reservation: reservation.id,
             resumeAfterEventId: progress.sequence.lastEventId ?? exchange.metadata.lastEventId,
         });
+        clearTimeout(timer);
         if (sent.kind === sends.SendKind.NotRun) {
             exchange.mayHaveRun = mayHaveRun;
             reservations.releaseReservation(exchange, reservation);
@@ -411,9 +438,9 @@
     }
 }
 
-/** Silence after which the callers of a route have abandoned a stream. */
-function abandonedMs({ latencyTargetMs, eventGapTargetMs }: routing.Route): decision.Milliseconds {
-    return SILENCE_MARGIN_MS + Math.max(
+/** Silence after which the callers of a route abandon a stream. */
+function callerPatienceMs({ latencyTargetMs, eventGapTargetMs }: routing.Route): decision.Milliseconds {
+    return Math.max(
         MIN_CALLER_SILENCE_MS,
         SILENT_LATENCY_TARGETS * latencyTargetMs,
         SILENT_GAP_TARGETS * (eventGapTargetMs ?? 0),
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -40,10 +40,13 @@
 export interface SilenceLimits {
     /** Silence after which another upstream takes over, if one can. */
     readonly takeoverMs: decision.Milliseconds;
+    /** Silence after which the upstream is suspected to be gone. */
+    readonly suspectedMs: decision.Milliseconds;
     /** Silence after which the answer is given up. */
     readonly abandonedMs: decision.Milliseconds;
     /** Whether another upstream can take over now. */
     readonly canTakeOver: () => boolean;
+    readonly onSuspected: () => void;
 }
 
 /**
@@ -72,15 +75,20 @@
             source.destroy();
             reject(error);
         };
-        const waitForEvents = () =>
-            setTimeout(() => {
+        let timer: NodeJS.Timeout;
+        const waitForEvents = () => {
+            timer = setTimeout(() => {
                 if (silence.canTakeOver()) {
                     source.destroy();
                     return;
                 }
-                timer = setTimeout(() => source.destroy(), silence.abandonedMs - silence.takeoverMs);
+                timer = setTimeout(() => {
+                    silence.onSuspected();
+                    timer = setTimeout(() => source.destroy(), silence.abandonedMs - silence.suspectedMs);
+                }, silence.suspectedMs - silence.takeoverMs);
             }, silence.takeoverMs);
-        let timer = waitForEvents();
+        };
+        waitForEvents();
         const forward = (bytes: Buffer) => {
             if (!response.headersSent) {
                 const relayedHeaders = headers.responseHeaders(source.rawHeaders, undefined);
@@ -106,7 +114,7 @@
             const completeEvents = splitter.push(bytes);
             if (completeEvents) {
                 clearTimeout(timer);
-                timer = waitForEvents();
+                waitForEvents();
                 exchange.relayedEvents += splitter.lastEventCount;
                 onEvents();
                 forward(completeEvents);
--- a/packages/gateway/src/relay/reachability.ts
+++ b/packages/gateway/src/relay/reachability.ts
@@ -52,6 +52,11 @@
         }
     }
 
+    /** Records that an upstream is silent for so long that it may be gone, while its answer is still waited for. */
+    recordSilence(upstream: routing.Upstream): void {
+        this.recordFailure(upstream, "silent");
+    }
+
     private recordContact(service: string, source: string): void {
         const known = this.services.get(service);
         if (!known) {
--- a/packages/gateway/test/silence.test.ts
+++ b/packages/gateway/test/silence.test.ts
@@ -113,4 +113,32 @@
         }
         chai.expect(await fixture.send()).to.include({ status: 200, body: "prompt" });
     });
+
+    it("are suspected before callers have abandoned their streams, so that others are preferred", async () => {
+        const other = await fixture.addStandIn("other", { service: "model", stage: routing.EngineStage.Whole });
+        const [first, second] = [engine, other];
+        const arrivals: string[] = [];
+        for (const standIn of [first, second]) {
+            standIn.behave = (received, response) => {
+                if (received.path.startsWith("/reserve")) {
+                    response.end(JSON.stringify({ id: "reservation" }));
+                    return;
+                }
+                arrivals.push(standIn.upstream.id);
+                response.writeHead(200, { "request-id": "r-1", "signature": "s", "content-type": "text/event-stream" });
+                response.write(EVENTS[0]);
+                if (standIn.upstream.id !== arrivals[0]) {
+                    response.end(EVENTS.slice(1).join(""));
+                }
+            };
+        }
+        await lifecycle.pause(fixture.scope, 1_500);
+        const abandoned = fixture.send({ path: "/write/1", headers: { ...headers, patience: "2000" } });
+        chai.expect(await abandoned).to.include({ status: 200, complete: false });
+        for (let count = 0; count < 4; count++) {
+            chai.expect(await fixture.send({ path: "/write/1", headers })).to.include({ complete: true });
+        }
+        chai.expect(new Set(arrivals.slice(1))).to.have.property("size", 1);
+        chai.expect(arrivals.slice(1)).to.not.include(arrivals[0]);
+    });
 });
