--- a/packages/gateway/test/streamanswers.test.ts
+++ b/packages/gateway/test/streamanswers.test.ts
@@ -17,6 +17,8 @@
     readonly headers?: http.OutgoingHttpHeaders;
     readonly pieceBytes?: number;
     readonly breaks?: boolean;
+    /** Whether it has chunks or a length; without, it ends with its connection. */
+    readonly isFramed?: boolean;
 }
 
 const STREAM = { "content-type": "text/event-stream" };
@@ -27,8 +29,15 @@
 }
 
 /** A signed answer with status 200 that is whole by its framing, unless it breaks. */
-function answer(text: string, { headers = STREAM, pieceBytes = Infinity, breaks = false }: AnswerOptions = {}): Answer {
+function answer(
+    text: string,
+    { headers = STREAM, pieceBytes = Infinity, breaks = false, isFramed = true }: AnswerOptions = {},
+): Answer {
     return (response, request) => {
+        if (!isFramed) {
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+        }
         response.writeHead(200, { signature: "s", ...headers });
         response.flushHeaders();
         for (let start = 0; start < text.length; start += pieceBytes) {
@@ -55,6 +64,9 @@
     "events of another type": answer(events(4), { headers: { "content-type": "application/json" } }),
     "nothing, with a length": answer("", { headers: { ...STREAM, "content-length": "0" } }),
     "nothing, in chunks": answer(""),
+    "nothing, without framing": answer("", { isFramed: false }),
+    "a text without a type or framing": answer("out of memory", { headers: {}, isFramed: false }),
+    "a text in a block, without framing": answer("out of memory\n\n", { isFramed: false }),
     "comments alone": answer(": ping\n\n: ping\n\n"),
     "the head of another answer": answer(OTHER_HEAD),
     "an event without an id": answer(`data: x\n\n${events(4)}`),
@@ -89,6 +101,7 @@
     "a leading field": answer(events(4).replaceAll("id:", "x-citronlead-weight-versions: 3\nid:")),
     "ids after the data": answer(events(4).replaceAll(/(id: \d+\n)(data: \d+\n)/g, "$2$1")),
     "ids without a space": answer(events(4).replaceAll("id: ", "id:")),
+    "no framing": answer(events(4), { isFramed: false }),
     "pieces of a byte": answer(events(4), { pieceBytes: 1 }),
 };
 
