Refuse a head that is cut and followed by another one

What callers saw: where an upstream writes a second head behind a part of the first, as one does that fails while it answers, a 200 with the text of the 500 behind it; after the last CR of a cut head, the second head itself as the body, in a stream too.

Cause: Node's parser reads what follows a cut reason phrase or field value as its rest, so that the status is the first head's and the body the second's. After the last CR of a head it takes any byte for the LF: "...\r\n\rHTTP/1.1 500" is a whole head and the body "TTP/1.1 500".

The change: a reason phrase or field value that holds a status line is malformed, and each CR of a head must be followed by LF, which is checked before the parser has the bytes. A service whose answers have a status line in a header of their own would be refused too; none is known. A case that fails ends the others of its test, so that they do not go on beside the next test.

--- a/packages/gateway/src/head.ts
+++ b/packages/gateway/src/head.ts
@@ -2,6 +2,8 @@
 const NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 /** What no field value of RFC 9110 contains: control characters but tabs, and characters of more than one byte. */
 const FORBIDDEN_IN_VALUE = /[^\t\x20-\x7e\x80-\xff]/;
+/** What a field value or reason phrase holds if a head was cut in it and another one follows. */
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 599;
 
@@ -22,16 +24,26 @@
     return undefined;
 }
 
+/** The head of a response, as Node's client reads it. */
+export interface ResponseHead {
+    readonly statusCode?: number | undefined;
+    /** The reason phrase. */
+    readonly statusMessage?: string | undefined;
+    /** Flat list of names and values. */
+    readonly rawHeaders: readonly string[];
+}
+
 /** What is wrong with the head of a final response; undefined if it can be passed on. */
 export function findMalformedHead(
-    { statusCode = 0, rawHeaders }: {
-        readonly statusCode?: number | undefined;
-        readonly rawHeaders: readonly string[];
-    },
+    { statusCode = 0, statusMessage = "", rawHeaders }: ResponseHead,
 ): string | undefined {
-    return statusCode < MIN_FINAL_STATUS || statusCode > MAX_STATUS
-        ? `malformed status ${statusCode}`
-        : findMalformedHeader(rawHeaders) ?? findUnknownTransferCoding(rawHeaders);
+    if (statusCode < MIN_FINAL_STATUS || statusCode > MAX_STATUS) {
+        return `malformed status ${statusCode}`;
+    }
+    if (STATUS_LINE.test(statusMessage) || rawHeaders.some((text) => STATUS_LINE.test(text))) {
+        return "head within a head";
+    }
+    return findMalformedHeader(rawHeaders) ?? findUnknownTransferCoding(rawHeaders);
 }
 
 /** A transfer coding other than chunks. Node's parser reads a body in one up to the close, as if it were whole then. */
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import * as heads from "../head.js";
 import * as agents from "./agent.js";
+import * as lines from "./lineends.js";
 
 /** A request to an upstream. */
 export interface UpstreamCall {
@@ -106,7 +107,11 @@
         const timer = setTimeout(() => stop(CallFailure.TimedOut, "timeout"), Math.max(1, call.headersTimeoutMs));
         const onAbort = () => stop(CallFailure.Aborted, "aborted");
         call.signal?.addEventListener("abort", onAbort);
+        const lineEnds = new lines.LineEndChecker();
+        const checkLineEnds = (bytes: Buffer) => lineEnds.push(bytes);
         request.on("socket", (socket) => {
+            // Before the parser's own listener, so that the head is checked by the time of its response.
+            socket.prependListener("data", checkLineEnds);
             if (socket.connecting) {
                 socket.once("connect", () => connected = true);
             }
@@ -135,7 +140,10 @@
             }
         });
         request.on("response", (response) => {
-            const problem = heads.findMalformedHead(response) ?? call.findMismatch?.(response.headers);
+            response.socket.off("data", checkLineEnds);
+            const problem = lineEnds.isMalformed
+                ? "malformed line end"
+                : heads.findMalformedHead(response) ?? call.findMismatch?.(response.headers);
             if (problem !== undefined) {
                 stop(CallFailure.Malformed, problem);
                 return;
--- a/packages/gateway/test/cut.ts
+++ b/packages/gateway/test/cut.ts
@@ -42,12 +42,15 @@
     }
 }
 
-/** Runs a check for each case, many at a time. */
+/** Runs a check for each case, many at a time, until one fails. */
 export async function forEachCase<Case>(cases: readonly Case[], check: (each: Case, index: number) => Promise<void>) {
     const left = [...cases.entries()];
     const work = async () => {
         for (let next = left.shift(); next; next = left.shift()) {
-            await check(next[1], next[0]);
+            await check(next[1], next[0]).catch((error: unknown) => {
+                left.length = 0;
+                throw error;
+            });
         }
     };
     await Promise.all(Array.from({ length: MAX_CONCURRENT }, work));
--- a/packages/gateway/test/cutheads.test.ts
+++ b/packages/gateway/test/cutheads.test.ts
@@ -33,13 +33,28 @@
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 20",
         "HTTP/1.1 103 Early Hints\r\nx: ",
     ].flatMap(cuts.waysToSend);
+/** A cut head with another one behind it, as of an upstream that fails while it writes the first. */
+const twoHeads = (id: string, body: string): cuts.Cut[] => {
+    const second = `HTTP/1.1 500 Failed\r\nrequest-id: ${id}\r\nsignature: s\r\nContent-Length: 6\r\n\r\nfailed`;
+    return [`Content-Length: ${body.length}`, "x: y"].map((framing) => headOf(id, framing))
+        .flatMap((head) => Array.from(head, (_, length) => head.slice(0, length + 1)).slice(0, -1))
+        .flatMap((start) => [start + second, start + second.replace(`request-id: ${id}\r\n`, "")])
+        .flatMap((text) => [cuts.Close.Fin, cuts.Close.Reset].map((close) => ({ text, inBytes: false, close })));
+};
 const allCuts = (id: string, body: string): cuts.Cut[] => {
-    const all = [...answers(id, body).flatMap(cuts.cutsOf), ...cutFramings(id, body), ...cutAfterInterim(id)];
+    const all = [
+        ...answers(id, body).flatMap(cuts.cutsOf),
+        ...cutFramings(id, body),
+        ...cutAfterInterim(id),
+        ...twoHeads(id, body),
+    ];
     return [...new Map(all.map((cut) => [JSON.stringify(cut), cut])).values()];
 };
-/** All cuts but those that are sent byte by byte and reset: all bytes are read before a reset. */
+/** All cuts, byte by byte with FIN, and whole with FIN and RST by turns: all bytes are read before a reset. */
 const mostCuts = (id: string, body: string): cuts.Cut[] =>
-    allCuts(id, body).filter(({ inBytes, close }) => !inBytes || close === cuts.Close.Fin);
+    allCuts(id, body).filter(({ inBytes, close, text }) =>
+        inBytes ? close === cuts.Close.Fin : (text.length % 2 === 0) === (close === cuts.Close.Fin)
+    );
 
 // Guards against callers who get an empty or short success after an upstream stopped inside its head.
 describe("Answers that stop in the middle of their head", function() {
