--- a/packages/dispatch/src/stopping.ts
+++ b/packages/dispatch/src/stopping.ts
@@ -77,12 +77,13 @@
 /** Number of the latest durations that a forecast is made from, and the fewest. */
 const MAX_DURATIONS = 100;
 const MIN_DURATIONS = 20;
-/** Share of the latest requests that took no longer than the forecast. */
-const QUANTILE = 0.95;
 /** Maximum number of kinds of request; beyond it the one that is known for longest is forgotten. */
 const MAX_KINDS = 1_000;
 
-/** Forecasts how long requests of a kind take, from the latest ones. */
+/**
+ * Forecasts how long requests of a kind take, from the latest ones. Follows the longest: a request that is cut costs its caller
+ * all of it, and one that is refused a moment.
+ */
 export class DurationForecast {
     private readonly latest = new Map<string, decision.Milliseconds[]>();
 
@@ -99,13 +100,9 @@
         }
     }
 
-    /** A time that few requests of the kind exceed; undefined while too few are known. */
+    /** The longest that any of the latest requests of the kind took; undefined while too few are known. */
     high(kind: string): decision.Milliseconds | undefined {
         const durations = this.latest.get(kind) ?? [];
-        if (durations.length < MIN_DURATIONS) {
-            return undefined;
-        }
-        const sorted = [...durations].sort((one, other) => one - other);
-        return sorted[Math.ceil(QUANTILE * sorted.length) - 1];
+        return durations.length < MIN_DURATIONS ? undefined : Math.max(...durations);
     }
 }
--- a/packages/dispatch/test/stopping.test.ts
+++ b/packages/dispatch/test/stopping.test.ts
@@ -82,10 +82,10 @@
         chai.expect(forecast.high("stream")).to.equal(1_000);
     });
 
-    it("names a time that one request in twenty exceeds", () => {
+    it("names a time that none of the latest requests exceeded", () => {
         const forecast = new dispatch.DurationForecast();
         Array.from({ length: 100 }, (_, index) => forecast.observe("stream", 7 * ((index * 37) % 100 + 1)));
-        chai.expect(forecast.high("stream")).to.equal(7 * 95);
+        chai.expect(forecast.high("stream")).to.equal(700);
     });
 
     it("follows a change of the traffic", () => {
