Take an empty success whose head names no length for lost

What callers saw: a 200 with an empty body after a plain service had ended its head without a length and closed.

Cause: a response without framing is whole if its connection ends by FIN and its upstream still runs, by its health check. A head that was cut before its length looks the same, and the upstream that sent it may well run, or be up again.

Evidence: such heads in cutheads.test.ts gave 200 with an empty body in two tests on, whose stand-in answers its health check now as a running one does.

Why it is right: an upstream with nothing to say names the length 0 or responds with 204. Error responses stay as they are. A body that has begun and ends by FIN stays whole where the upstream runs, as the platform's rules want.

--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -157,6 +157,10 @@
         return dispatch.SendEffect.MayHaveRun;
     }
     const framed = calls.isFramed(response);
+    // Without a length and a body, the head itself may have been cut before the length.
+    if (!framed && success && body.length === 0) {
+        return dispatch.SendEffect.MayHaveRun;
+    }
     if (!framed && !(await liveness.isStillRunning(exchange.context, upstream))) {
         return dispatch.SendEffect.MayHaveRun;
     }
--- a/packages/gateway/test/cutheads.test.ts
+++ b/packages/gateway/test/cutheads.test.ts
@@ -24,6 +24,7 @@
     )
         .concat("Transfer-Encoding: gzip", "Transfer-Encoding: identity", "Transfer-Encoding: chunked, gzip")
         .flatMap((framing) => [headOf(id, framing), headOf(id, framing) + body])
+        .concat(headOf(id, "x: y"))
         .filter((text) => !/Content-Length: \d+\r\n\r\n./.test(text))
         .flatMap(cuts.waysToSend);
 /** Interim responses before a final head that is cut. */
@@ -88,6 +89,10 @@
     const idOf = ({ headers }: fixtures.Received) => String(headers["request-id"]);
     const countRun = (id: string) => runs.set(id, (runs.get(id) ?? 0) + 1);
     const servePlain: fixtures.Behaviour = (received, response, request) => {
+        if (received.path === "/health") {
+            response.end();
+            return;
+        }
         countRun(idOf(received));
         if (!sendNextCut(idOf(received), request.socket)) {
             fixtures.signed(response, received, BODY);
