--- a/packages/gateway/test/stopwaits.test.ts
+++ b/packages/gateway/test/stopwaits.test.ts
@@ -72,6 +72,20 @@
         chai.expect(decode.received.map(({ method }) => method)).to.include("DELETE");
     });
 
+    it("keeps none waiting for capacity that it would have no time to use", async () => {
+        const engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
+        engine.behave = (received, response, request) =>
+            received.path.startsWith("/reserve")
+                ? void response.writeHead(503, { "not-run": "1" }).end()
+                : run(received, response, request);
+        const base = configuration();
+        const routes = base.routes.map((route) => ({ ...route, latencyTargetMs: LONG_TIMEOUT_MS }));
+        await fixture.start({ ...base, routes });
+        const response = await sendAndStop("/write/1");
+        chai.expect(response).to.include({ status: 503 });
+        chai.expect(response.tookMs).to.be.below(WAIT_MS + SETTLE_MS);
+    });
+
     it("relays none to another host that it has no time to hear from", async () => {
         await fixture.addStandIn("u-1", { address: UNREACHABLE });
         const other = await fixture.addStandIn("host-2");
@@ -86,4 +100,21 @@
         chai.expect(await fixture.send()).to.include({ status: 503 });
         chai.expect(ran).to.deep.equal([]);
     });
+
+    it("asks a third host for one that another stopping host refuses", async () => {
+        await fixture.addStandIn("u-1", { address: UNREACHABLE });
+        let asked = 0;
+        for (const id of ["host-2", "host-3"]) {
+            const other = await fixture.addStandIn(id);
+            fixture.standIns.pop();
+            fixture.hosts.push(other.upstream.address);
+            other.behave = (received, response) =>
+                ++asked === 1
+                    ? void response.writeHead(503, { "citronlead-relay-refusal": '{"reason":"hostStopping"}' }).end()
+                    : fixtures.signed(response, received, "from elsewhere");
+        }
+        await fixture.start(configuration());
+        chai.expect(await fixture.send()).to.include({ status: 200, body: "from elsewhere" });
+        chai.expect(asked).to.equal(2);
+    });
 });
