Stops: take back the charges of a request that reached nothing before it is refused

By the reviewer, by reading: a request whose sends all failed to connect was refused by a stopping host with its charge and its share of the retry budget kept, although nothing had reached an upstream. No test of its own.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -303,10 +303,10 @@
         if (this.finished || this.mayHaveRun || this.response.headersSent || !isUnreached) {
             return this.finished;
         }
+        this.takeBackCharges();
         if (this.refuseIfStopping()) {
             return true;
         }
-        this.takeBackCharges();
         if (await this.context.relay.relay(this)) {
             return true;
         }
