--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -16,6 +16,7 @@
 export * from "./relays.js";
 export * from "./rendezvous.js";
 export * from "./retry.js";
+export * from "./silence.js";
 export * from "./stages.js";
 export * from "./stopping.js";
 export * from "./streamsequence.js";
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -12,28 +12,15 @@
 import * as queues from "./queue.js";
 import * as relays from "./relay.js";
 import * as reservations from "./reservation.js";
+import * as silences from "./silence.js";
 import * as stages from "./stages.js";
 
 /** Maximum number of rounds of reservation, prefill and decode for one request. */
 const MAX_ROUNDS = 3;
-/** Silence after which a stream goes on at another engine; callers wait longer for an event. */
-const TAKEOVER_SILENCE_MS = 1_900;
-/** Shortest silence after which callers abandon a stream. */
-const MIN_CALLER_SILENCE_MS = 2_000;
-/** Number of latency targets without an event after which callers abandon a stream. */
-const SILENT_LATENCY_TARGETS = 4;
-/** Number of event gap targets without an event after which callers abandon a stream. */
-const SILENT_GAP_TARGETS = 8;
-/** Share of the callers' patience after which a silent engine is suspected to be gone. */
-const SUSPECTED_SHARE = 0.92;
-/** Time beyond it, so that it is the caller who ends a stream on which nothing else can go on. */
-const SILENCE_MARGIN_MS = 250;
 /** Mean Retry-After when no engine is available: crashed engines restart within seconds. */
 const NO_ENGINE_RETRY_AFTER_MS = 1_500;
 /** Lowest status with which an engine reports a failure of its own. */
 const MIN_FAILURE_STATUS = 500;
-/** Minimum time left for another round to be worthwhile: a prefill and a few events. */
-const MIN_REMAINING_MS = 400;
 
 /** Serves requests that run on model engines. */
 export class ModelRequestHandler {
@@ -42,10 +29,12 @@
 
     private readonly stageKeeper: stages.StageKeeper;
     private readonly continuation: continuations.StreamContinuation;
+    private readonly silence: silences.SilencePolicy;
 
     constructor(private readonly context: contexts.GatewayContext) {
         this.stageKeeper = new stages.StageKeeper(context);
         this.continuation = new continuations.StreamContinuation(context, () => this.noEngineRetryAfterMs());
+        this.silence = new silences.SilencePolicy(context, this.continuation);
     }
 
     /**
@@ -100,7 +89,7 @@
                 effect,
                 runs,
                 responseStarted: exchange.response.headersSent,
-                hasTimeLeft: exchange.remainingMs > MIN_REMAINING_MS,
+                hasTimeLeft: exchange.remainingMs > silences.MIN_REMAINING_MS,
             });
             if (!mayRetry) {
                 break;
@@ -111,55 +100,6 @@
         }
     }
 
-    private silenceLimits(
-        exchange: exchanges.Exchange,
-        progress: relays.StreamProgress,
-        { upstream, health }: dispatch.Candidate,
-        runs: number,
-    ): relays.SilenceLimits {
-        const { clock, log, reachability } = this.context;
-        const patienceMs = callerPatienceMs(exchange.route);
-        return {
-            takeoverMs: TAKEOVER_SILENCE_MS,
-            suspectedMs: patienceMs * SUSPECTED_SHARE,
-            abandonedMs: patienceMs + SILENCE_MARGIN_MS,
-            canTakeOver: () => this.canTakeOver(exchange, progress, upstream, runs),
-            onSuspected: () => {
-                health.record(dispatch.SendResult.Unreachable, clock());
-                reachability.recordSilence(upstream);
-                log.decision("upstream silent", {
-                    requestId: exchange.metadata.requestId,
-                    upstream: upstream.id,
-                    service: exchange.service,
-                    silentMs: Math.round(patienceMs * SUSPECTED_SHARE),
-                    passedEvents: exchange.relayedEvents,
-                });
-            },
-        };
-    }
-
-    /** Whether another engine can go on with a stream now, after the given number of runs. */
-    private canTakeOver(
-        exchange: exchanges.Exchange,
-        progress: relays.StreamProgress,
-        current: routing.Upstream,
-        runs: number,
-    ): boolean {
-        const isOther = ({ upstream }: dispatch.Candidate) =>
-            routing.incarnationOf(upstream) !== routing.incarnationOf(current)
-            && this.continuation.mayProduce(exchange, progress, upstream);
-        return progress.sequence.mayGoOn
-            && exchange.remainingRetries > 0
-            && dispatch.mayRetry({
-                route: exchange.route,
-                effect: dispatch.SendEffect.MayHaveRun,
-                runs,
-                responseStarted: exchange.response.headersSent,
-                hasTimeLeft: exchange.remainingMs > MIN_REMAINING_MS,
-            })
-            && this.context.pool.candidates(exchange.service, this.context.clock()).some(isOther);
-    }
-
     private queueOf(service: string): queues.CapacityQueue {
         const queue = this.queues.get(service) ?? new queues.CapacityQueue(this.context.scope, this.context.clock);
         this.queues.set(service, queue);
@@ -226,7 +166,7 @@
     ): Promise<dispatch.SendEffect | undefined> {
         const mayHaveRun = exchange.mayHaveRun;
         exchange.mayHaveRun = true;
-        const silence = this.silenceLimits(exchange, progress, reservation.candidate, previousRuns + 1);
+        const silence = this.silence.limitsOf(exchange, progress, reservation.candidate, previousRuns + 1);
         const timer = setTimeout(silence.onSuspected, silence.suspectedMs);
         const sent = await sends.sendRequest(exchange, reservation.candidate, {
             call: "decode",
@@ -437,12 +377,3 @@
         });
     }
 }
-
-/** Silence after which the callers of a route abandon a stream. */
-function callerPatienceMs({ latencyTargetMs, eventGapTargetMs }: routing.Route): decision.Milliseconds {
-    return Math.max(
-        MIN_CALLER_SILENCE_MS,
-        SILENT_LATENCY_TARGETS * latencyTargetMs,
-        SILENT_GAP_TARGETS * (eventGapTargetMs ?? 0),
-    );
-}
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -36,14 +36,8 @@
 /** Pieces of a stream: far more than any engine writes, and what a stream may have waiting after a pause of this process. */
 export const STREAM_PIECES: decision.TokenRate = { burst: 16_384, perSecond: 2_000 };
 
-/** How long an upstream may be silent. */
-export interface SilenceLimits {
-    /** Silence after which another upstream takes over, if one can. */
-    readonly takeoverMs: decision.Milliseconds;
-    /** Silence after which the upstream is suspected to be gone. */
-    readonly suspectedMs: decision.Milliseconds;
-    /** Silence after which the answer is given up. */
-    readonly abandonedMs: decision.Milliseconds;
+/** How long an upstream may be silent, and what happens then. */
+export interface SilenceLimits extends dispatch.SilenceTimes {
     /** Whether another upstream can take over now. */
     readonly canTakeOver: () => boolean;
     readonly onSuspected: () => void;
