--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -330,21 +330,10 @@
 
     /** Refuses a request without a response if this host stops and has no time for it. Returns whether it is over. */
     refuseIfStopping(): boolean {
-        if (!this.finished && !this.response.headersSent && !this.context.hostStop.mayBegin(this)) {
-            this.refuseForStop();
-        }
+        this.context.hostStop.refuseUntimely(this);
         return this.finished;
     }
 
-    /** Refuses the request, since this host stops. */
-    refuseForStop(): void {
-        this.refuse({
-            status: this.mayHaveRun ? 502 : 503,
-            reason: FinalReason.HostStopping,
-            retryAfterMs: this.context.hostStop.retryAfterMs(),
-        });
-    }
-
     /** Refuses the request, or aborts its response if a part has already been sent. */
     refuse(refusal: Refusal): void {
         if (this.finished) {
--- a/packages/gateway/src/stop.ts
+++ b/packages/gateway/src/stop.ts
@@ -62,8 +62,15 @@
         return () => this.lastAnswerCallbacks.delete(callback);
     }
 
+    /** Refuses a request without a response if the host stops and has no time for it. */
+    refuseUntimely(exchange: exchanges.Exchange): void {
+        if (!exchange.isOver && !exchange.response.headersSent && !this.mayBegin(exchange)) {
+            this.refuse(exchange);
+        }
+    }
+
     /** Whether a request of which nothing has begun may begin, as far as the stop is concerned. */
-    mayBegin(exchange: exchanges.Exchange): boolean {
+    private mayBegin(exchange: exchanges.Exchange): boolean {
         if (!this.plan) {
             return true;
         }
@@ -101,7 +108,7 @@
         [...this.lastAnswerCallbacks].forEach((callback) => callback());
         for (const exchange of [...this.open]) {
             if (!exchange.response.headersSent) {
-                exchange.refuseForStop();
+                this.refuse(exchange);
             }
         }
     }
@@ -119,4 +126,12 @@
             exchange.abortResponse(exchanges.FinalReason.Stopped);
         }
     }
+
+    private refuse(exchange: exchanges.Exchange): void {
+        exchange.refuse({
+            status: exchange.mayHaveRun ? 502 : 503,
+            reason: exchanges.FinalReason.HostStopping,
+            retryAfterMs: this.retryAfterMs(),
+        });
+    }
 }
