--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,6 +2,7 @@
 import type * as dispatch from "@citronlead/dispatch";
 import type * as routing from "@citronlead/routing";
 import type * as http from "node:http";
+import type * as callrecords from "./callrecord.js";
 import type * as contexts from "./context.js";
 import * as envelopes from "./relay/envelope.js";
 import type * as wires from "./wire.js";
@@ -41,16 +42,6 @@
     Stopped = "stopped",
 }
 
-/** One call to an upstream, as it is logged. Times are relative to the arrival of the request. */
-export interface CallRecord {
-    readonly call: string;
-    readonly upstream: string;
-    readonly softwareVersion: string;
-    readonly result: string;
-    readonly startedMs: number;
-    readonly tookMs: number;
-}
-
 /** A response that the gateway generates for a request that is not served. */
 export interface Refusal {
     readonly status: number;
@@ -71,14 +62,14 @@
     readonly startedAt: decision.Milliseconds;
     readonly deadlineAt: decision.Milliseconds;
     readonly latencyTargetAt: decision.Milliseconds;
-    readonly callRecords: CallRecord[] = [];
+    readonly callRecords: callrecords.CallRecord[] = [];
     private readonly abortController = new AbortController();
     private deadlineTimer: NodeJS.Timeout;
     readonly expectedOutput: dispatch.OutputLength;
     /** Whether another host has relayed it. */
     readonly isRelayed: boolean;
     private finished = false;
-    private callInFlight: CallRecord | undefined;
+    private callInFlight: callrecords.CallRecord | undefined;
     private sent = false;
     private unsentCallback: (() => void) | undefined;
     /** Whether an upstream may have run the request. */
