Plain requests: rank the upstreams of an attempt once

The question whether another upstream is left ranked all of them a second time for each attempt of an idempotent request, on the path of every such request. The ranking that the attempt was chosen from has the answer: it holds the chosen one and the others. Behaviour as before, but that upstreams listed while a named limit is asked for count from the next attempt on. patience, plain, unreachable and stopwaits tests: 27 pass.

--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -34,7 +34,8 @@
         if (exchange.refuseIfBarred() || exchange.refuseIfStopping()) {
             return;
         }
-        const choice = await context.limits.firstPermitted(rankUntried(exchange, tried));
+        const untried = rankUntried(exchange, tried);
+        const choice = await context.limits.firstPermitted(untried);
         if (exchange.isOver) {
             return;
         }
@@ -57,7 +58,7 @@
         const isLastAttempt = route.kind !== routing.RouteKind.Idempotent
             || runs + 1 >= route.maxAttempts
             || exchange.remainingRetries < 1
-            || rankUntried(exchange, tried).length === 0;
+            || untried.length === 1;
         const effect = await sendOnce(
             exchange,
             candidate,
