--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -119,6 +119,14 @@
     response.end(body);
 }
 
+/** How an engine responds that grants each reservation, and runs requests as given. */
+export function engineThatRuns(run: Behaviour): Behaviour {
+    return (received, response, request) =>
+        received.path === "/reserve" || received.method === "DELETE"
+            ? void response.end(JSON.stringify({ id: "reservation" }))
+            : run(received, response, request);
+}
+
 /** The gateway under test with its registry and stand-ins. */
 export class Fixture {
     readonly scope = new lifecycle.Scope("test");
--- a/packages/gateway/test/patience.test.ts
+++ b/packages/gateway/test/patience.test.ts
@@ -16,10 +16,7 @@
     let engine: fixtures.StandIn;
     let counter: fixtures.StandIn;
     const onRun = (behave: fixtures.Behaviour) => {
-        engine.behave = (received, response, request) =>
-            received.path === "/reserve" || received.method === "DELETE"
-                ? void response.end(JSON.stringify({ id: "reservation" }))
-                : behave(received, response, request);
+        engine.behave = fixtures.engineThatRuns(behave);
     };
 
     before(async () => {
--- a/packages/gateway/test/silence.test.ts
+++ b/packages/gateway/test/silence.test.ts
@@ -17,10 +17,7 @@
     const afterSilence = (respond: () => void) => void setTimeout(respond, SILENCE_MS);
     /** Answers reservations at once and runs as given. */
     const onRun = (behave: fixtures.Behaviour) => {
-        engine.behave = (received, response, request) =>
-            received.path === "/reserve" || received.method === "DELETE"
-                ? void response.end(JSON.stringify({ id: "reservation" }))
-                : behave(received, response, request);
+        engine.behave = fixtures.engineThatRuns(behave);
     };
 
     before(async () => {
