--- a/packages/gateway/test/betweenhosts.test.ts
+++ b/packages/gateway/test/betweenhosts.test.ts
@@ -12,7 +12,10 @@
 import * as envelopes from "../src/relay/envelope.js";
 
 /** What the release in production writes, one message a line; see docs/design/between-hosts.md. */
-const GOLDEN = new URL("../../test/golden/messages-8fae101.jsonl", import.meta.url);
+const GOLDEN = new URL("../../test/golden/messages-11e9979.jsonl", import.meta.url);
+
+/** The kinds of message that the release in production does not know, and passes over. */
+const LATER_KINDS: readonly messages.MessageKind[] = [];
 
 interface GoldenLine {
     readonly kind?: string;
@@ -43,8 +46,9 @@
         for (const { text, value } of datagrams) {
             chai.expect(messages.parseMessage(Buffer.from(text))).to.deep.equal(value);
         }
-        chai.expect(new Set(datagrams.map(({ value }) => value.kind)))
-            .to.deep.equal(new Set(Object.values(messages.MessageKind)));
+        const kinds = datagrams.map(({ value }) => value.kind as messages.MessageKind);
+        chai.expect(kinds.filter((kind) => LATER_KINDS.includes(kind))).to.deep.equal([]);
+        chai.expect(new Set([...kinds, ...LATER_KINDS])).to.deep.equal(new Set(Object.values(messages.MessageKind)));
     });
 
     it("are read although a later release has more fields", () => {
