--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -51,6 +51,8 @@
 
 /** Margin before the caller's deadline, for the network delay to the caller and a timer that fires late. */
 const RESPONSE_MARGIN_MS = 25;
+/** Timers of whole milliseconds fire up to this early. */
+const TIMER_RESOLUTION_MS = 1;
 
 /** Time by which callers are spread that come back once an upstream takes requests again. */
 const RETURN_SPREAD_MS = 400;
@@ -338,6 +340,15 @@
         this.context.sendRefusal(this.response, this.metadata.requestId, refusal);
     }
 
+    /** Refuses a request that may have run and whose response is lost; one that has reached its deadline has timed out. */
+    refuseAsLost(): void {
+        if (this.remainingMs <= TIMER_RESOLUTION_MS) {
+            this.onDeadline();
+            return;
+        }
+        this.refuse({ status: 502, reason: FinalReason.ResponseLost });
+    }
+
     /** Refuses the request while each upstream leaves or wants nothing. `leavingRetryAfterMs` is told if all of them leave. */
     refuseWhileAway(leavingRetryAfterMs: decision.Milliseconds): void {
         const { clock, pool, random } = this.context;
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -302,7 +302,7 @@
         sequence: dispatch.StreamSequence,
     ): dispatch.SendEffect | undefined {
         if (exchange.response.headersSent && !sequence.mayGoOn) {
-            exchange.refuse({ status: 502, reason: exchanges.FinalReason.ResponseLost });
+            exchange.refuseAsLost();
             return undefined;
         }
         return dispatch.SendEffect.MayHaveRun;
@@ -367,7 +367,7 @@
 
     private refuseUnserved(exchange: exchanges.Exchange): void {
         if (exchange.mayHaveRun) {
-            exchange.refuse({ status: 502, reason: exchanges.FinalReason.ResponseLost });
+            exchange.refuseAsLost();
             return;
         }
         exchange.refuse({
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -196,7 +196,7 @@
 /** Refuses a request; `limitedForMs` is the time until an upstream takes one again, if upstreams have named limits. */
 function refuseUnserved(exchange: exchanges.Exchange, limitedForMs: decision.Milliseconds | undefined): void {
     if (exchange.mayHaveRun) {
-        exchange.refuse({ status: 502, reason: exchanges.FinalReason.ResponseLost });
+        exchange.refuseAsLost();
         return;
     }
     const { clock, pool } = exchange.context;
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -84,7 +84,7 @@
                     exchange.mayHaveRun = mayHaveRun;
                     return RelayAnswer.Unable;
                 }
-                exchange.refuse({ status: 502, reason: exchanges.FinalReason.ResponseLost });
+                exchange.refuseAsLost();
                 return RelayAnswer.Final;
             }
             const { response } = outcome;
@@ -101,7 +101,7 @@
             // Hosts frame what they send each other, so that without framing the head is not whole.
             if (refusal === undefined && !calls.isFramed(response)) {
                 response.destroy();
-                exchange.refuse({ status: 502, reason: exchanges.FinalReason.ResponseLost });
+                exchange.refuseAsLost();
                 return RelayAnswer.Final;
             }
             if (refusal === undefined) {
--- a/packages/gateway/test/plain.test.ts
+++ b/packages/gateway/test/plain.test.ts
@@ -160,6 +160,21 @@
         chai.expect(Number(received?.headers["time-left"])).to.be.within(300, 400);
     });
 
+    // Guards against the call's time-out being taken for a lost response when both are due together.
+    it("never responds with 502 to requests that reach their deadline", async () => {
+        both(() => undefined);
+        const statuses: number[] = [];
+        for (let round = 0; round < 15; round++) {
+            const patience = String(100 + round / 7);
+            const responses = await Promise.all(
+                Array.from({ length: 20 }, () => fixture.send({ headers: { patience } })),
+            );
+            statuses.push(...responses.map(({ status }) => status));
+        }
+        // 503: it was not sent by then.
+        chai.expect(statuses.filter((status) => status !== 504 && status !== 503)).to.deep.equal([]);
+    });
+
     it("aborts the send when the caller disconnects", async () => {
         const ended = new Promise<void>((resolve) =>
             both((_received, _response, request) => request.socket.on("close", () => resolve()))
