Evacuated zones get nothing new; requests keep to the regions that their route and workspace allow

A host that cannot read the store asks three others. The send gate has one reason more, so that each path that asks it looks again. Regions are decided in dispatch/regions; each ranking, send and relay asks.

--- a/packages/dispatch/src/gate.ts
+++ b/packages/dispatch/src/gate.ts
@@ -8,6 +8,8 @@
     Waiting = "waiting",
     /** Another incarnation or another upstream has answered at the address. */
     Replaced = "replaced",
+    /** Operators empty the upstream's availability zone until they take it back. */
+    Evacuated = "evacuated",
 }
 
 /** How long nothing is sent to an incarnation that was replaced: its registration lapses after three heartbeats. */
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./queue.js";
 export * from "./quota.js";
 export * from "./reachability.js";
+export * from "./regions.js";
 export * from "./relays.js";
 export * from "./rendezvous.js";
 export * from "./retry.js";
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -41,6 +41,10 @@
     readonly limits: limits.UpstreamLimits;
     readonly reachability: reachabilities.UpstreamReachability;
     readonly relay: relays.RelayClient;
+    /** Region of an availability zone; undefined if it is not known. */
+    readonly regionOf: (zone: string) => string | undefined;
+    /** Region of another host, by its address; undefined if it is not known. */
+    readonly regionOfHost: (address: string) => string | undefined;
     readonly hostStop: stops.HostStop;
     readonly streamVersions: versions.StreamVersions;
     /** Sends the gateway's own response to a request that is not served. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,5 +1,5 @@
 import * as decision from "@citronlead/decision";
-import type * as dispatch from "@citronlead/dispatch";
+import * as dispatch from "@citronlead/dispatch";
 import type * as routing from "@citronlead/routing";
 import type * as http from "node:http";
 import type * as callrecords from "./callrecord.js";
@@ -24,6 +24,8 @@
     NoUpstream = "noUpstream",
     /** Each upstream leaves, or wants nothing for longer than the request can wait. */
     UpstreamsAway = "upstreamsAway",
+    /** Each upstream is in an availability zone that operators empty. */
+    ZonesEmptied = "zonesEmptied",
     /** This host cannot reach any upstream of the service. */
     Unreachable = "unreachable",
     /** The software version that began a resumed stream is not known, or has no upstream. */
@@ -54,6 +56,8 @@
 
 /** Time by which callers are spread that come back once an upstream takes requests again. */
 const RETURN_SPREAD_MS = 400;
+/** Mean Retry-After while all zones of a service are emptied: operators take them back some seconds later at the earliest. */
+const EMPTIED_RETRY_AFTER_MS = 3_000;
 /** Retry-After for a request that crashes upstreams. */
 const BARRED_RETRY_AFTER_MS = 60_000;
 
@@ -68,6 +72,7 @@
     readonly expectedOutput: dispatch.OutputLength;
     /** Whether another host has relayed it. */
     readonly isRelayed: boolean;
+    private readonly allowedRegions: dispatch.AllowedRegions;
     private finished = false;
     private callInFlight: callrecords.CallRecord | undefined;
     private sent = false;
@@ -109,6 +114,7 @@
     ) {
         this.startedAt = startedAt;
         const relayed = envelopes.relayedRequestOf(request);
+        this.allowedRegions = dispatch.intersectRegions(route.allowedRegions, workspace?.allowedRegions);
         this.isRelayed = relayed !== undefined;
         const callerTimeoutMs = (relayed?.timeLeftMs ?? metadata.timeoutMs ?? Infinity) - RESPONSE_MARGIN_MS;
         this.deadlineAt = startedAt + Math.min(route.timeoutMs, callerTimeoutMs);
@@ -134,6 +140,16 @@
         return this.deadlineAt - this.context.clock();
     }
 
+    /** Whether the request may use an upstream, by the regions that its route and its workspace allow. */
+    mayUse({ availabilityZone }: routing.Upstream): boolean {
+        return dispatch.mayUseRegion(this.allowedRegions, this.context.regionOf(availabilityZone));
+    }
+
+    /** Whether the request's body may be sent to another host, by the same regions. */
+    mayReachHost(address: string): boolean {
+        return dispatch.mayUseRegion(this.allowedRegions, this.context.regionOfHost(address));
+    }
+
     /** Priority among the requests of a service; 0 is the most urgent. */
     get priority(): number {
         return this.workspace?.priority ?? this.route.priority;
@@ -338,10 +354,19 @@
         this.context.sendRefusal(this.response, this.metadata.requestId, refusal);
     }
 
-    /** Refuses the request while each upstream leaves or wants nothing. `leavingRetryAfterMs` is told if all of them leave. */
+    /** Refuses the request while each upstream leaves, wants nothing or is in an emptied zone. `leavingRetryAfterMs` is told if all of them leave. */
     refuseWhileAway(leavingRetryAfterMs: decision.Milliseconds): void {
         const { clock, pool, random } = this.context;
-        const returnsInMs = pool.returnsInMs(this.service, clock(), () => true) ?? Infinity;
+        const now = clock();
+        if (pool.isEmptied(this.service, now)) {
+            this.refuse({
+                status: this.mayHaveRun ? 502 : 503,
+                reason: FinalReason.ZonesEmptied,
+                retryAfterMs: EMPTIED_RETRY_AFTER_MS * (0.5 + random()),
+            });
+            return;
+        }
+        const returnsInMs = pool.returnsInMs(this.service, now, (upstream) => this.mayUse(upstream)) ?? Infinity;
         this.refuse({
             status: this.mayHaveRun ? 502 : 503,
             reason: FinalReason.UpstreamsAway,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -116,6 +116,7 @@
         onVersions: (stored) => streamVersions.adopt(stored),
         host: settings.host,
         address: self,
+        availabilityZone: onlyRegion(settings.regions) === undefined ? settings.availabilityZone : undefined,
         freshness: () => current.freshness,
         random,
     });
@@ -128,11 +129,13 @@
         quotaTolerance: () => current.quotaTolerance,
         quotaWindowMs: settings.quotaWindowMs,
         onStoreUpdate: storeView.receiveUpdate,
+        evacuations: storeView.evacuations,
+        onEvacuations: storeView.receiveEvacuations,
         onUnread: (reason) => gatewayMetrics.unreadMessages.inc({ reason }),
         quarantine,
         limits: upstreamLimits,
     });
-    storeView.setPublisher(peerChannel.sendStoreUpdate);
+    storeView.setPublisher(peerChannel.sendStoreUpdate, peerChannel.askEvacuations);
     quarantine.setMessages(peerChannel.quarantine);
     upstreamLimits.setChannel(peerChannel);
     const durationForecast = new dispatch.DurationForecast();
@@ -159,6 +162,9 @@
         reachability: new reachabilities.UpstreamReachability({ scope, clock, log, pool, agent, random }),
         relay: new relays.RelayClient(hostAgent),
         hostStop,
+        regionOf: (zone) => current.regions.get(zone),
+        regionOfHost: (address) =>
+            onlyRegion(current.regions) ?? current.regions.get(storeView.zoneOfHost(address) ?? ""),
         sendRefusal: (response, requestId, refusal) => sendRefusal(wireFormat, response, requestId, refusal),
         logOutcome: (exchange, reason, status) => logOutcome(context, exchange, reason, status),
     };
@@ -221,6 +227,12 @@
     };
 }
 
+/** The region that all zones are in; undefined if there are several or none. */
+function onlyRegion(regions: ReadonlyMap<string, string>): string | undefined {
+    const distinct = new Set(regions.values());
+    return distinct.size === 1 ? [...distinct][0] : undefined;
+}
+
 function longestTimeoutMs(active: routing.ActiveConfiguration | undefined): decision.Milliseconds {
     return Math.max(0, ...active?.table.configuration.routes.map(({ timeoutMs }) => timeoutMs) ?? []);
 }
@@ -259,6 +271,7 @@
     const { clock, storeView, log, pool } = context;
     const now = clock();
     const active = storeView.activeConfiguration();
+    const emptied = pool.emptiedZones(now);
     context.metrics.requests.inc({ service: exchange.service, outcome: reason });
     context.metrics.duration.observe({ service: exchange.service }, (now - exchange.startedAt) / decision.SECOND_MS);
     if (TIMED_OUTCOMES.has(reason)) {
@@ -284,6 +297,7 @@
         tookMs: Math.round(now - exchange.startedAt),
         steps: exchange.callRecords,
         configuration: active?.table.configuration.version,
+        emptiedZones: emptied.length === 0 ? undefined : emptied.map(({ zone }) => zone),
         upstreamsAgeMs: Math.round(pool.listingAgeMs(now)),
     });
 }
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -19,6 +19,10 @@
     Cleared = "cleared",
     /** Carries what a reader of the store has read. */
     StoreUpdate = "news",
+    /** From a host that cannot read the store: asks for the emptied zones. */
+    AskEvacuations = "askEvacuations",
+    /** Tells which zones are emptied. */
+    Evacuations = "evacuations",
 }
 
 /** What a charge counts against. */
@@ -37,6 +41,14 @@
 const amount = zod.number().min(0).max(1e15);
 const fingerprintsSchema = zod.array(text).readonly();
 
+/** Maximum number of emptied zones in a message. */
+const MAX_ZONES = 64;
+const evacuationsSchema = zod.object({
+    era: amount,
+    revision: amount,
+    zones: zod.array(zod.object({ zone: text, revision: amount })).max(MAX_ZONES).readonly(),
+});
+
 const messageSchema = zod.discriminatedUnion("kind", [
     zod.object({
         kind: zod.literal(MessageKind.Charge),
@@ -86,8 +98,11 @@
             upstreams: text,
             ageMs: amount,
             configuration: amount.optional(),
+            evacuations: evacuationsSchema.optional().catch(undefined),
         }),
     }),
+    zod.object({ kind: zod.literal(MessageKind.AskEvacuations) }),
+    zod.object({ kind: zod.literal(MessageKind.Evacuations), listing: evacuationsSchema }),
 ]);
 
 /** A message between hosts. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -16,6 +16,7 @@
     readonly unreadMessages: promClient.Counter<"reason">;
     readonly storeCalls: promClient.Counter<"call" | "result">;
     readonly configurationVersion: promClient.Gauge;
+    readonly emptiedZones: promClient.Gauge<"zone">;
 }
 
 /** Buckets of the latency histograms: latency targets are tenths of a second, and deadlines are some seconds. */
@@ -77,5 +78,11 @@
             help: "Version of the configuration in force.",
             registers,
         }),
+        emptiedZones: new promClient.Gauge({
+            name: "citronlead_gateway_emptied_zones",
+            help: "Unix time since when this host sends nothing new to an emptied availability zone.",
+            labelNames: ["zone"] as const,
+            registers,
+        }),
     };
 }
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -149,7 +149,9 @@
         reservation: reservations.Reservation,
         prefill: prefills.PrefillResult | undefined,
     ): dispatch.SendEffect {
-        exchange.recordCall("decode", reservation.candidate.upstream, "not sent: draining", this.context.clock());
+        const now = this.context.clock();
+        const reason = this.context.pool.exclusionOf(reservation.candidate.upstream, now) ?? "draining";
+        exchange.recordCall("decode", reservation.candidate.upstream, `not sent: ${reason}`, now);
         reservations.releaseReservation(exchange, reservation);
         if (prefill) {
             prefills.releasePrefill(exchange, prefill);
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -49,7 +49,7 @@
     queue.typicalReservation.observe(exchange.reservedTokens);
     if (!queue.hasWaiters) {
         const reservation = await tryReserve(exchange, queue, isEligible);
-        if (typeof reservation !== "string") {
+        if (typeof reservation !== "string" || reservation === ReservationFailure.Away) {
             return reservation;
         }
     }
@@ -105,7 +105,8 @@
 function failureWithoutEngines(exchange: exchanges.Exchange, isEligible: EngineFilter): ReservationFailure {
     const { clock, pool } = exchange.context;
     const now = clock();
-    const isCandidate = (upstream: routing.Upstream) => canDecode(upstream) && isEligible(upstream);
+    const isCandidate = (upstream: routing.Upstream) =>
+        canDecode(upstream) && exchange.mayUse(upstream) && isEligible(upstream);
     const returnsInMs = pool.returnsInMs(exchange.service, now, isCandidate);
     if (returnsInMs === undefined) {
         return ReservationFailure.NoEngine;
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -43,6 +43,8 @@
         cost: number,
     ) => Promise<Charge>;
     readonly quarantine: quarantines.QuarantineMessages;
+    /** Asks the given hosts which zones are emptied. */
+    readonly askEvacuations: (hosts: readonly string[]) => void;
     /** Tells all hosts the limit that an upstream has named; undefined if it names none any more. */
     readonly broadcastLimit: (incarnation: string, perSecond: number | undefined) => void;
     /** Sends what this host read in the store to the given hosts. */
@@ -59,7 +61,10 @@
     readonly quotaWindowMs: decision.Milliseconds;
     readonly quarantine: quarantines.Quarantine;
     readonly limits: limits.UpstreamLimits;
-    readonly onStoreUpdate: (update: routing.StoreUpdate) => void;
+    readonly onStoreUpdate: (update: routing.StoreUpdate, from: string) => void;
+    /** The emptied zones that this host tells to those that ask. */
+    readonly evacuations: () => routing.EvacuationListing | undefined;
+    readonly onEvacuations: (listing: routing.EvacuationListing, from: string) => void;
     /** Called for each datagram that is no message that this build knows. */
     readonly onUnread: (reason: messages.UnreadReason) => void;
 }
@@ -135,7 +140,20 @@
                 options.quarantine.receiveCleared(message.fingerprints);
                 return;
             case messages.MessageKind.StoreUpdate:
-                options.onStoreUpdate({ ...message.news, configuration: message.news.configuration });
+                options.onStoreUpdate(
+                    { ...message.news, configuration: message.news.configuration },
+                    from.address,
+                );
+                return;
+            case messages.MessageKind.AskEvacuations: {
+                const listing = options.evacuations();
+                if (listing) {
+                    send({ kind: messages.MessageKind.Evacuations, listing }, `${from.address}:${from.port}`);
+                }
+                return;
+            }
+            case messages.MessageKind.Evacuations:
+                options.onEvacuations(message.listing, from.address);
                 return;
             case undefined: {
                 const reason = messages.unreadReason(bytes);
@@ -240,6 +258,7 @@
             })),
         sendStoreUpdate: (update, hosts) =>
             hosts.forEach((host) => send({ kind: messages.MessageKind.StoreUpdate, news: update }, host)),
+        askEvacuations: (hosts) => hosts.forEach((host) => send({ kind: messages.MessageKind.AskEvacuations }, host)),
         quarantine: {
             broadcastCrash: (report) =>
                 broadcast((delayMs) => ({
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -88,10 +88,11 @@
 }
 
 /** Waits for the first upstream that takes requests again, if all are excluded and the request can wait. */
-async function waitForReturn({ context, service, latencyTargetAt, remainingMs }: exchanges.Exchange): Promise<boolean> {
+async function waitForReturn(exchange: exchanges.Exchange): Promise<boolean> {
+    const { context, service, latencyTargetAt, remainingMs } = exchange;
     const { clock, pool, random, scope } = context;
     const now = clock();
-    const returnsInMs = pool.returnsInMs(service, now, () => true);
+    const returnsInMs = pool.returnsInMs(service, now, (upstream) => exchange.mayUse(upstream));
     if (returnsInMs === undefined || returnsInMs === 0) {
         return false;
     }
@@ -201,7 +202,7 @@
     }
     const { clock, pool } = exchange.context;
     const jitter = 0.5 + exchange.context.random();
-    if (pool.returnsInMs(exchange.service, clock(), () => true) !== undefined) {
+    if (pool.returnsInMs(exchange.service, clock(), (upstream) => exchange.mayUse(upstream)) !== undefined) {
         exchange.refuseWhileAway(UNAVAILABLE_RETRY_AFTER_MS * jitter);
         return;
     }
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -14,6 +14,8 @@
 export interface FleetListing {
     /** Addresses of the registered hosts. */
     readonly hosts: readonly string[];
+    /** Availability zones of the hosts that tell them, by address. */
+    readonly hostZones: ReadonlyMap<string, string>;
     /** Fingerprints of requests that crash upstreams. */
     readonly barred: readonly string[];
     /** The software versions of services, by service. */
@@ -42,10 +44,16 @@
     readonly waitForConfiguration: () => Promise<decision.Outcome<routing.RoutingConfiguration | undefined>>;
     /** Reads the newest configuration; undefined if there is none. */
     readonly readConfiguration: () => Promise<decision.Outcome<routing.RoutingConfiguration | undefined>>;
+    /** The emptied zones as of the newest read of the configuration, which reads them too; undefined before the first. */
+    readonly evacuations: () => routing.EvacuationListing | undefined;
     /** Lists all registered upstreams. */
     readonly listUpstreams: () => Promise<decision.Outcome<UpstreamListing>>;
-    /** Registers this host, or renews its registration. */
-    readonly registerHost: (host: string, address: string) => Promise<decision.Outcome<undefined>>;
+    /** Registers this host, or renews its registration. The zone is told where zones are in several regions. */
+    readonly registerHost: (
+        host: string,
+        address: string,
+        availabilityZone?: string,
+    ) => Promise<decision.Outcome<undefined>>;
     /** Removes this host's registration. */
     readonly unregisterHost: () => Promise<decision.Outcome<undefined>>;
     /**
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -41,7 +41,8 @@
         }
         exchange.wasOfferedToHosts = true;
         const { address, port } = context.settings.peers;
-        const others = context.storeView.hosts().filter((host) => host !== `${address}:${port}`);
+        const others = context.storeView.hosts()
+            .filter((host) => host !== `${address}:${port}` && exchange.mayReachHost(host));
         const ranked = this.relayHosts.rank(others, context.clock(), context.random).slice(0, MAX_HOSTS);
         for (const host of ranked) {
             if (exchange.isOver) {
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -55,6 +55,9 @@
 /** Time to read the short body of a refusal; after it the connection is closed. */
 const REFUSAL_BODY_TIMEOUT_MS = 200;
 
+/** Why a request is not sent to an upstream in a region that it may not use. */
+const OTHER_REGION = "region not allowed";
+
 /** Sends the request of an exchange to an upstream and classifies the outcome. */
 export async function sendRequest(
     exchange: exchanges.Exchange,
@@ -63,7 +66,7 @@
 ): Promise<SendOutcome> {
     const { context, request, metadata } = exchange;
     const startedAt = context.clock();
-    const exclusion = context.pool.exclusionOf(upstream, startedAt);
+    const exclusion = exchange.mayUse(upstream) ? context.pool.exclusionOf(upstream, startedAt) : OTHER_REGION;
     if (exclusion !== undefined) {
         exchange.recordCall(options.call, upstream, `not sent: ${exclusion}`, startedAt);
         return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason: exclusion };
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -33,4 +33,6 @@
     readonly quotaWindowMs: decision.Milliseconds;
     readonly retries: dispatch.RetryLimits;
     readonly freshness: Freshness;
+    /** Region of each availability zone. */
+    readonly regions: ReadonlyMap<string, string>;
 }
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -9,6 +9,7 @@
 import type * as settings from "../settings.js";
 import type * as pools from "../upstream/pool.js";
 import * as directories from "./directory.js";
+import * as evacuations from "./evacuations.js";
 import * as pollers from "./poller.js";
 
 /** Interval between renewals of this host's registration, a third of its lifetime. */
@@ -32,6 +33,10 @@
 /** How late the response to a watch may be; beyond it the connection is considered dead. */
 const WATCH_TOLERANCE_MS = 300;
 
+/** Number of hosts that a host asks for the emptied zones while it cannot read the store, and time until it asks again. */
+const ASKED_HOSTS = 3;
+const ASK_PERIOD_MS = 1_000;
+
 /** Sends what was read in the store to the given hosts. */
 export type PublishUpdate = (update: routing.StoreUpdate, hosts: readonly string[]) => void;
 
@@ -40,6 +45,12 @@
     readonly activeConfiguration: () => routing.ActiveConfiguration | undefined;
     /** Addresses of the registered hosts, including this one. */
     readonly hosts: () => readonly string[];
+    /** Availability zone of a host, by its address; undefined if it is not known. */
+    readonly zoneOfHost: (address: string) => string | undefined;
+    /** The emptied zones as this host knows them; undefined before the first read. */
+    readonly evacuations: () => routing.EvacuationListing | undefined;
+    /** Handles the emptied zones that another host knows. */
+    readonly receiveEvacuations: (listing: routing.EvacuationListing, from: string) => void;
     /** See `Registry.holdDuty`. */
     readonly holdDuty: registries.Registry["holdDuty"];
     /** Whether the upstreams were listed as lately as they are without disturbance. */
@@ -47,9 +58,9 @@
     /** Lists the upstreams anew. Returns whether the listing is of a time after the call. */
     readonly confirmUpstreams: () => Promise<boolean>;
     /** Handles an update from a reader. */
-    readonly receiveUpdate: (update: routing.StoreUpdate) => void;
-    /** Sets how updates are sent to other hosts; until then none are sent. */
-    readonly setPublisher: (publish: PublishUpdate) => void;
+    readonly receiveUpdate: (update: routing.StoreUpdate, from?: string) => void;
+    /** Sets how updates are sent to other hosts, and how they are asked for emptied zones; until then neither is done. */
+    readonly setPublisher: (publish: PublishUpdate, askEvacuations?: (hosts: readonly string[]) => void) => void;
 }
 
 export interface StoreViewOptions {
@@ -65,6 +76,8 @@
     readonly host: string;
     /** Address at which other hosts reach this one. */
     readonly address: string;
+    /** Told to other hosts; undefined where all zones are in one region. */
+    readonly availabilityZone: string | undefined;
     readonly freshness: () => settings.Freshness;
     /** Draws a number in [0, 1). */
     readonly random: () => number;
@@ -81,7 +94,11 @@
     const maxSilenceMs = () => freshness().listingPeriodMs * directories.MAX_SILENT_PERIODS;
     let active: routing.ActiveConfiguration | undefined;
     let hosts: readonly string[] = [options.address];
+    let hostZones: ReadonlyMap<string, string> = new Map();
     let publishUpdate: PublishUpdate | undefined;
+    let askEvacuations: ((hosts: readonly string[]) => void) | undefined;
+    let askedAt: decision.Milliseconds = -Infinity;
+    const keeper = new evacuations.EvacuationKeeper(clock, log, options.metrics, options.pool);
     let group = routing.readerGroupOf(hosts, options.address, READER_GROUP_OPTIONS);
     const version = () => active?.table.configuration.version ?? 0;
     const directory = new directories.UpstreamDirectory(
@@ -100,11 +117,32 @@
                 upstreams: listing.digest,
                 ageMs: upstreamPoller.ageMs,
             };
-            publishUpdate({ ...update, configuration: isFresh ? version() : undefined }, group.otherHosts);
+            publishUpdate(
+                { ...update, configuration: isFresh ? version() : undefined, evacuations: keeper.listing },
+                group.otherHosts,
+            );
         }
     };
+    const askOthers = () => {
+        if (clock() - askedAt < ASK_PERIOD_MS) {
+            return;
+        }
+        askedAt = clock();
+        const drawn = hosts
+            .filter((host) => host !== options.address)
+            .map((host) => ({ host, order: options.random() }))
+            .sort((one, other) => one.order - other.order);
+        askEvacuations?.(drawn.slice(0, ASKED_HOSTS).map(({ host }) => host));
+    };
     const adoptRead = (read: decision.Outcome<routing.RoutingConfiguration | undefined>) => {
-        if (read.effect !== decision.Effect.Known || !read.value) {
+        if (keeper.adopt(registry.evacuations(), "store")) {
+            publish();
+        }
+        if (read.effect !== decision.Effect.Known) {
+            askOthers();
+            return read;
+        }
+        if (!read.value) {
             return read;
         }
         const next = routing.adoptConfiguration(active, read.value, clock());
@@ -141,7 +179,7 @@
     const refreshHosts = async () => {
         // Listed first, so that a host that starts knows what is barred as soon as it can.
         const listed = await registry.listFleet();
-        const registered = await registry.registerHost(options.host, options.address);
+        const registered = await registry.registerHost(options.host, options.address, options.availabilityZone);
         if (listed.effect === decision.Effect.Known) {
             const { barred } = listed.value;
             background.runInBackground(
@@ -150,6 +188,7 @@
                 () => options.quarantine.reconcile(barred, registry),
             );
             options.onVersions(listed.value.versions);
+            hostZones = listed.value.hostZones;
             const kept = clock() < hostGraceUntil ? hosts : [];
             const next = [...new Set([...listed.value.hosts, ...kept, options.address])].sort();
             if (next.join() !== hosts.join()) {
@@ -197,7 +236,7 @@
     scope.defer(async () => {
         await registry.unregisterHost();
     });
-    const receiveConfigurationVersion = (receivedVersion: number | undefined) => {
+    const receiveConfigurationVersion = (receivedVersion: number | undefined, tellsEvacuations: boolean) => {
         if (receivedVersion !== undefined && receivedVersion > version()) {
             // A reader does this too, in addition to its watch, because the connection of the watch may be dead.
             background.runInBackground(
@@ -206,7 +245,8 @@
                 async () => adoptRead(await registry.readConfiguration()),
             );
         }
-        else if (receivedVersion === version() && !group.isReader) {
+        // What confirms the configuration spares a read that would tell the emptied zones too.
+        else if (receivedVersion === version() && tellsEvacuations && !group.isReader) {
             configurationPoller.confirm(0);
         }
     };
@@ -218,17 +258,24 @@
     return {
         activeConfiguration: () => active,
         hosts: () => hosts,
+        zoneOfHost: (address) => hostZones.get(address),
+        evacuations: () => keeper.listing,
+        receiveEvacuations: (listing, from) => void keeper.adopt(listing, from),
         holdDuty: registry.holdDuty,
-        setPublisher: (publisher) => publishUpdate = publisher,
+        setPublisher: (publisher, ask) => {
+            publishUpdate = publisher;
+            askEvacuations = ask;
+        },
         isInStep: () => !stalls.readsBacklog && upstreamPoller.ageMs <= maxSilenceMs(),
         confirmUpstreams: () => upstreamPoller.readAnew(),
-        receiveUpdate: (update) => {
+        receiveUpdate: (update, from) => {
+            keeper.adopt(update.evacuations, from ?? "another host");
             // Updates that waited while the process stood still are older than they say.
             if (stalls.readsBacklog) {
                 void upstreamPoller.refresh();
                 return;
             }
-            receiveConfigurationVersion(update.configuration);
+            receiveConfigurationVersion(update.configuration, update.evacuations !== undefined);
             switch (directory.compareListing(update)) {
                 case routing.ListingComparison.Same:
                     directory.confirmListing(update.revision, update.ageMs);
--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -7,6 +7,7 @@
     private readonly health = new Map<string, dispatch.UpstreamHealth>();
     private readonly gates = new Map<string, dispatch.SendGate>();
     private directory: routing.Directory = routing.emptyDirectory;
+    private evacuations: routing.Evacuations = routing.noEvacuations;
     private onUpdate: () => void = () => undefined;
 
     constructor(private readonly onIncarnationGone: (incarnation: string) => void) {}
@@ -16,6 +17,22 @@
         this.onUpdate = listener;
     }
 
+    /** Sets which availability zones are emptied. */
+    setEvacuations(evacuations: routing.Evacuations): void {
+        this.evacuations = evacuations;
+    }
+
+    /** The availability zones to which nothing new is sent now. */
+    emptiedZones(now: decision.Milliseconds): routing.EmptiedZone[] {
+        return routing.emptiedZones(this.evacuations, now);
+    }
+
+    /** Whether some upstreams of a service accept work, and all of them are in emptied zones. */
+    isEmptied(service: string, now: decision.Milliseconds): boolean {
+        const accepting = routing.acceptingUpstreams(this.directory, service);
+        return accepting.length > 0 && accepting.every((upstream) => this.isInEmptiedZone(upstream, now));
+    }
+
     /** The software versions of the registered engines of each model service. */
     engineVersions(): ReadonlyMap<string, ReadonlySet<string>> {
         const versions = new Map<string, Set<string>>();
@@ -70,7 +87,7 @@
 
     /**
      * Time until this host may send to an upstream of a service again, if some accept work and all of them are excluded;
-     * infinite if all leave, undefined if one is not excluded or none accepts work.
+     * infinite if all leave or are in emptied zones, undefined if one is not excluded or none accepts work.
      */
     returnsInMs(
         service: string,
@@ -81,7 +98,11 @@
         if (accepting.length === 0 || accepting.some((upstream) => this.exclusionOf(upstream, now) === undefined)) {
             return undefined;
         }
-        return Math.min(...accepting.map((upstream) => this.gateOf(upstream).returnsInMs(now)));
+        return Math.min(
+            ...accepting.map((upstream) =>
+                this.isInEmptiedZone(upstream, now) ? Infinity : this.gateOf(upstream).returnsInMs(now)
+            ),
+        );
     }
 
     /** Whether this incarnation of an upstream still accepts new work, and this host may send to it now. */
@@ -101,7 +122,12 @@
 
     /** Why this host sends nothing to an upstream now; undefined if it may. */
     exclusionOf(upstream: routing.Upstream, now: decision.Milliseconds): dispatch.Exclusion | undefined {
-        return this.gates.get(routing.incarnationOf(upstream))?.exclusion(now);
+        return this.gates.get(routing.incarnationOf(upstream))?.exclusion(now)
+            ?? (this.isInEmptiedZone(upstream, now) ? dispatch.Exclusion.Evacuated : undefined);
+    }
+
+    private isInEmptiedZone({ availabilityZone }: routing.Upstream, now: decision.Milliseconds): boolean {
+        return this.evacuations.zones.size > 0 && routing.isEmptied(this.evacuations, availabilityZone, now);
     }
 
     /** Number of listed upstreams that are excluded for the reason. */
--- a/packages/gateway/src/upstream/ranking.ts
+++ b/packages/gateway/src/upstream/ranking.ts
@@ -7,11 +7,13 @@
 
 /** The upstreams of a request's service that accept new work and the given request, best first. */
 export function rankUpstreams(
-    { context, service }: exchanges.Exchange,
+    exchange: exchanges.Exchange,
     options: RankingOptions,
     isEligible: (upstream: routing.Upstream) => boolean,
 ): dispatch.Candidate[] {
+    const { context, service } = exchange;
     const now = context.clock();
-    const candidates = context.pool.candidates(service, now).filter(({ upstream }) => isEligible(upstream));
+    const candidates = context.pool.candidates(service, now)
+        .filter(({ upstream }) => exchange.mayUse(upstream) && isEligible(upstream));
     return dispatch.rankCandidates(candidates, { ...options, random: context.random }, now);
 }
--- a/packages/gateway/test/betweenhosts.test.ts
+++ b/packages/gateway/test/betweenhosts.test.ts
@@ -14,6 +14,12 @@
 /** What the release in production writes, one message a line; see docs/design/between-hosts.md. */
 const GOLDEN = new URL("../../test/golden/messages-8fae101.jsonl", import.meta.url);
 
+/** Kinds of message that the release in production passes over. */
+const KINDS_SINCE_THE_RELEASE = [
+    messages.MessageKind.AskEvacuations,
+    messages.MessageKind.Evacuations,
+];
+
 interface GoldenLine {
     readonly kind?: string;
     readonly relayRequest?: string;
@@ -43,7 +49,7 @@
         for (const { text, value } of datagrams) {
             chai.expect(messages.parseMessage(Buffer.from(text))).to.deep.equal(value);
         }
-        chai.expect(new Set(datagrams.map(({ value }) => value.kind)))
+        chai.expect(new Set([...datagrams.map(({ value }) => value.kind), ...KINDS_SINCE_THE_RELEASE]))
             .to.deep.equal(new Set(Object.values(messages.MessageKind)));
     });
 
@@ -82,7 +88,7 @@
         const port = testing.testPortBase(3_200);
         const clock = lifecycle.monotonicClock;
         const log = logs.makeDecisionLog({}, clock, () => undefined);
-        const written: unknown[] = [];
+        const written: messages.Message[] = [];
         const other = dgram.createSocket("udp4");
         await new Promise<void>((resolve) => other.bind(port + 1, "127.0.0.1", resolve));
         other.on("message", (bytes, from) => {
@@ -108,6 +114,8 @@
             quarantine: new quarantines.Quarantine(clock, log, () => 0),
             limits: new limits.UpstreamLimits(clock, log),
             onStoreUpdate: () => undefined,
+            evacuations: () => undefined,
+            onEvacuations: () => undefined,
             onUnread: () => undefined,
         });
         for (const name of ["a", "b", "c", "d", "e", "f", "g", "h"]) {
@@ -126,12 +134,19 @@
         channel.quarantine.broadcastCleared(["p1"]);
         const update = { era: 2, revision: 45, upstreams: "digest", ageMs: 12.5, configuration: 7 };
         channel.sendStoreUpdate(update, [`127.0.0.1:${port + 1}`]);
+        const emptied = { era: 2, revision: 44, zones: [{ zone: "a", revision: 41 }] };
+        channel.sendStoreUpdate({ ...update, evacuations: emptied }, [`127.0.0.1:${port + 1}`]);
         await lifecycle.pause(scope, 300);
         await scope.close();
         await new Promise<void>((resolve) => other.close(() => resolve()));
         const known = datagrams.map(({ value }) => JSON.stringify(shapeOf(value)));
         chai.expect(written.length).to.be.above(6);
         for (const message of written) {
+            if (message.kind === messages.MessageKind.StoreUpdate && message.news.evacuations) {
+                // A field more, which the release passes over.
+                chai.expect(messages.parseMessage(Buffer.from(JSON.stringify(message)))).to.deep.equal(message);
+                delete message.news.evacuations;
+            }
             chai.expect(known).to.include(JSON.stringify(shapeOf(message)));
         }
     });
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -139,6 +139,12 @@
     dutyCalls = 0;
     /** Addresses of other hosts. */
     hosts: string[] = [];
+    /** Availability zones of other hosts. */
+    readonly hostZones = new Map<string, string>();
+    /** The emptied zones in the store; another revision with each change. */
+    evacuations: routing.EvacuationListing | undefined;
+    /** Region of each availability zone. */
+    readonly regions = new Map<string, string>();
     /** Retries that the fleet may make. */
     retries = { ratio: 0.2, extra: 100, windowMs: 10_000 };
     private started: gateway.Gateway | undefined;
@@ -190,6 +196,7 @@
                 await lifecycle.pause(this.scope, 10);
                 return decision.knownEffect(this.configuration);
             },
+            evacuations: () => this.evacuations,
             readConfiguration: async () => decision.knownEffect(this.configuration),
             listUpstreams: async () =>
                 decision.knownEffect({ upstreams: this.standIns.map(({ upstream }) => upstream), era: 1, revision: 1 }),
@@ -199,7 +206,8 @@
             },
             registerHost: async () => decision.knownEffect(undefined),
             unregisterHost: async () => decision.knownEffect(undefined),
-            listFleet: async () => decision.knownEffect({ hosts: this.hosts, barred: [], versions: new Map() }),
+            listFleet: async () =>
+                decision.knownEffect({ hosts: this.hosts, hostZones: this.hostZones, barred: [], versions: new Map() }),
             readVersions: async () => decision.knownEffect(this.versions),
             replaceVersions: async (_, history) =>
                 decision.knownEffect(this.versions = { history, revision: (this.versions?.revision ?? 0) + 1 }),
@@ -237,6 +245,7 @@
             quotaTolerance: 0,
             quotaWindowMs: 8_000,
             freshness: { listingPeriodMs: 1_000, configurationWatchMs: 2_000 },
+            regions: this.regions,
             retries: this.retries,
         };
     }
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -44,6 +44,8 @@
             quarantine,
             limits: new limits.UpstreamLimits(clock, log),
             onStoreUpdate: () => undefined,
+            evacuations: () => undefined,
+            onEvacuations: () => undefined,
             onUnread: () => undefined,
         });
 
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -23,6 +23,9 @@
 class FakeStoreView {
     readonly scope = new lifecycle.Scope("test");
     readonly published: routing.StoreUpdate[] = [];
+    /** The hosts that were asked for the emptied zones, each time. */
+    readonly asked: (readonly string[])[] = [];
+    readonly pool = new pools.UpstreamPool(() => undefined);
     readonly view: views.StoreView;
     listings = 0;
     configurationReads = 0;
@@ -31,12 +34,16 @@
     upstreams: routing.Upstream[] = [];
     storeDown = false;
     era = 1;
+    evacuations: routing.EvacuationListing | undefined;
     registrations = 0;
     listedHosts: readonly string[] = HOSTS;
 
     constructor(address: string, periodMs: number) {
-        const readConfiguration = async () => {
+        const readConfiguration = async (): Promise<decision.Outcome<routing.RoutingConfiguration>> => {
             this.configurationReads++;
+            if (this.storeDown) {
+                return decision.noEffect("status 503");
+            }
             return decision.knownEffect(fixtures.makeConfiguration({ version: this.version }));
         };
         const clock = lifecycle.monotonicClock;
@@ -46,15 +53,17 @@
             clock,
             log,
             metrics: metrics.makeGatewayMetrics(() => 0),
-            pool: new pools.UpstreamPool(() => undefined),
+            pool: this.pool,
             quarantine: new quarantines.Quarantine(clock, log, () => 0.5),
             host: "host",
             address,
+            availabilityZone: "a",
             freshness: () => ({ listingPeriodMs: periodMs, configurationWatchMs: periodMs }),
             random: () => 0.5,
             onVersions: () => undefined,
             registry: {
                 storeEra: () => this.era,
+                evacuations: () => this.evacuations,
                 readConfiguration,
                 waitForConfiguration: async () => {
                     await lifecycle.pause(this.scope, PERIOD_MS / 2);
@@ -78,7 +87,12 @@
                 },
                 unregisterHost: async () => decision.knownEffect(undefined),
                 listFleet: async () =>
-                    decision.knownEffect({ hosts: this.listedHosts, barred: [], versions: new Map() }),
+                    decision.knownEffect({
+                        hosts: this.listedHosts,
+                        hostZones: new Map(),
+                        barred: [],
+                        versions: new Map(),
+                    }),
                 readVersions: async () => decision.knownEffect(undefined),
                 replaceVersions: async () => decision.knownEffect(undefined),
                 recordStreams: async () => decision.knownEffect(undefined),
@@ -87,12 +101,23 @@
                 removeBarred: async () => decision.knownEffect(undefined),
             },
         });
-        this.view.setPublisher((update) => this.published.push(update));
+        this.view.setPublisher(
+            (update) => this.published.push(update),
+            (hosts) => this.asked.push(hosts),
+        );
     }
 
     makeUpdate(change: Partial<routing.StoreUpdate> = {}): routing.StoreUpdate {
         const upstreams = routing.digestUpstreams(this.upstreams);
-        return { era: this.era, revision: this.revision, upstreams, ageMs: 0, configuration: this.version, ...change };
+        return {
+            era: this.era,
+            revision: this.revision,
+            upstreams,
+            ageMs: 0,
+            configuration: this.version,
+            evacuations: this.evacuations ?? { era: this.era, revision: this.revision, zones: [] },
+            ...change,
+        };
     }
 
     /** Waits until the hosts are listed and the first reads are done. */
@@ -211,4 +236,58 @@
         await lifecycle.pause(follower.scope, 20);
         chai.expect(follower.listings).to.equal(before);
     });
+
+    describe("and emptied zones", () => {
+        const emptiedAt = (...zones: string[]): routing.EvacuationListing => ({
+            era: 1,
+            revision: ++revision,
+            zones: zones.map((zone) => ({ zone, revision })),
+        });
+        const zonesOf = ({ pool }: FakeStoreView) =>
+            pool.emptiedZones(lifecycle.monotonicClock()).map(({ zone }) => zone);
+        let revision = 1;
+
+        it("tells the group of them at once at a reader", async () => {
+            const reader = await start(true, 2_000);
+            reader.published.length = 0;
+            reader.evacuations = emptiedAt("a");
+            await lifecycle.pause(reader.scope, PERIOD_MS);
+            chai.expect(zonesOf(reader)).to.deep.equal(["a"]);
+            chai.expect(reader.published.at(0)?.evacuations).to.deep.equal(reader.evacuations);
+        });
+
+        it("knows them at a follower from the readers' updates, without a read", async () => {
+            const follower = await start(false, 2_000);
+            const before = follower.configurationReads;
+            for (const zones of [["a"], ["a", "b"], ["b"], []]) {
+                follower.view.receiveUpdate(follower.makeUpdate({ evacuations: emptiedAt(...zones) }));
+                chai.expect(zonesOf(follower)).to.deep.equal(zones);
+            }
+            chai.expect(follower.configurationReads).to.equal(before);
+        });
+
+        it("reads the store at a follower whose readers are of a build that does not tell them", async () => {
+            const follower = await start(false);
+            const before = follower.configurationReads;
+            follower.evacuations = emptiedAt("a");
+            for (let count = 0; count < 10; count++) {
+                follower.view.receiveUpdate(follower.makeUpdate({ evacuations: undefined }));
+                await lifecycle.pause(follower.scope, PERIOD_MS / 2);
+            }
+            chai.expect(zonesOf(follower)).to.deep.equal(["a"]);
+            chai.expect(follower.configurationReads - before).to.be.within(2, 5);
+        });
+
+        it("asks three hosts for them, once a second, while it cannot read the store", async () => {
+            const host = await start(true);
+            host.storeDown = true;
+            await lifecycle.pause(host.scope, 1_700);
+            chai.expect(host.asked.map((hosts) => new Set(hosts).size)).to.deep.equal([3, 3]);
+            chai.expect(host.asked.flat()).to.not.include(findHost(true));
+            host.view.receiveEvacuations(emptiedAt("c"), "10.0.0.9");
+            chai.expect(zonesOf(host)).to.deep.equal(["c"]);
+            host.view.receiveEvacuations({ era: 1, revision: 1, zones: [] }, "10.0.0.9");
+            chai.expect(zonesOf(host)).to.deep.equal(["c"]);
+        });
+    });
 });
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -42,6 +42,8 @@
     readonly generative: boolean;
     /** Whether a broken stream may be continued by another engine after the last event. */
     readonly resumable: boolean;
+    /** Regions that the route's requests may use; undefined or empty for all. */
+    readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Capacity and limits of the model engines of a service. */
@@ -87,6 +89,8 @@
     /** Units per second; 0 for no limit. */
     readonly ratePerSecond: number;
     readonly burst: number;
+    /** Regions that the workspace's requests may use; undefined or empty for all. */
+    readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Limits on callers' requests and connections. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./active.js";
 export * from "./configuration.js";
 export * from "./directory.js";
+export * from "./evacuations.js";
 export * from "./readers.js";
 export * from "./table.js";
 export * from "./upstream.js";
--- a/packages/routing/src/readers.ts
+++ b/packages/routing/src/readers.ts
@@ -1,5 +1,6 @@
 import type * as decision from "@citronlead/decision";
 import * as crypto from "node:crypto";
+import type * as evacuations from "./evacuations.js";
 import * as upstreams from "./upstream.js";
 
 /** A group of hosts: a few, the readers, read the store and send what they read to the others, the followers. */
@@ -47,6 +48,8 @@
     readonly ageMs: decision.Milliseconds;
     /** Newest version of the configuration; undefined while the reader's own copy may be stale. */
     readonly configuration: number | undefined;
+    /** The emptied zones as of the reader's last read; undefined from hosts of builds that know of none. */
+    readonly evacuations?: evacuations.EvacuationListing | undefined;
 }
 
 /** Identifies a listing of upstreams. */
