--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -54,10 +54,6 @@
 /** Margin before the caller's deadline, for the network delay to the caller and a timer that fires late. */
 const RESPONSE_MARGIN_MS = 25;
 
-/** Time by which callers are spread that come back once an upstream takes requests again. */
-const RETURN_SPREAD_MS = 400;
-/** Mean Retry-After while all zones of a service are emptied: operators take them back some seconds later at the earliest. */
-const EMPTIED_RETRY_AFTER_MS = 3_000;
 /** Retry-After for a request that crashes upstreams. */
 const BARRED_RETRY_AFTER_MS = 60_000;
 
@@ -72,7 +68,8 @@
     readonly expectedOutput: dispatch.OutputLength;
     /** Whether another host has relayed it. */
     readonly isRelayed: boolean;
-    private readonly allowedRegions: dispatch.AllowedRegions;
+    /** The regions that its route and its workspace allow; see regions.ts. */
+    readonly allowedRegions: dispatch.AllowedRegions;
     private finished = false;
     private callInFlight: callrecords.CallRecord | undefined;
     private sent = false;
@@ -140,16 +137,6 @@
         return this.deadlineAt - this.context.clock();
     }
 
-    /** Whether the request may use an upstream, by the regions that its route and its workspace allow. */
-    mayUse({ availabilityZone }: routing.Upstream): boolean {
-        return dispatch.mayUseRegion(this.allowedRegions, this.context.regionOf(availabilityZone));
-    }
-
-    /** Whether the request's body may be sent to another host, by the same regions. */
-    mayReachHost(address: string): boolean {
-        return dispatch.mayUseRegion(this.allowedRegions, this.context.regionOfHost(address));
-    }
-
     /** Priority among the requests of a service; 0 is the most urgent. */
     get priority(): number {
         return this.workspace?.priority ?? this.route.priority;
@@ -354,28 +341,6 @@
         this.context.sendRefusal(this.response, this.metadata.requestId, refusal);
     }
 
-    /** Refuses the request while each upstream leaves, wants nothing or is in an emptied zone. `leavingRetryAfterMs` is told if all of them leave. */
-    refuseWhileAway(leavingRetryAfterMs: decision.Milliseconds): void {
-        const { clock, pool, random } = this.context;
-        const now = clock();
-        if (pool.isEmptied(this.service, now)) {
-            this.refuse({
-                status: this.mayHaveRun ? 502 : 503,
-                reason: FinalReason.ZonesEmptied,
-                retryAfterMs: EMPTIED_RETRY_AFTER_MS * (0.5 + random()),
-            });
-            return;
-        }
-        const returnsInMs = pool.returnsInMs(this.service, now, (upstream) => this.mayUse(upstream)) ?? Infinity;
-        this.refuse({
-            status: this.mayHaveRun ? 502 : 503,
-            reason: FinalReason.UpstreamsAway,
-            retryAfterMs: Number.isFinite(returnsInMs)
-                ? returnsInMs + RETURN_SPREAD_MS * random()
-                : leavingRetryAfterMs,
-        });
-    }
-
     private elapsedMs(): number {
         return Math.round(this.context.clock() - this.startedAt);
     }
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -1,6 +1,7 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
+import * as away from "../away.js";
 import type * as contexts from "../context.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
@@ -348,7 +349,7 @@
 
     private refuseForCapacity(exchange: exchanges.Exchange, failure: reservations.ReservationFailure): void {
         if (failure === reservations.ReservationFailure.Away) {
-            exchange.refuseWhileAway(this.noEngineRetryAfterMs());
+            away.refuseWhileAway(exchange, this.noEngineRetryAfterMs());
             return;
         }
         const retryAfterMs = failure === reservations.ReservationFailure.NoEngine
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -3,6 +3,7 @@
 import * as routing from "@citronlead/routing";
 import * as background from "../background.js";
 import type * as exchanges from "../exchange.js";
+import * as regions from "../regions.js";
 import * as sends from "../send.js";
 import * as ranking from "../upstream/ranking.js";
 import type * as wires from "../wire.js";
@@ -106,7 +107,7 @@
     const { clock, pool } = exchange.context;
     const now = clock();
     const isCandidate = (upstream: routing.Upstream) =>
-        canDecode(upstream) && exchange.mayUse(upstream) && isEligible(upstream);
+        canDecode(upstream) && regions.mayUse(exchange, upstream) && isEligible(upstream);
     const returnsInMs = pool.returnsInMs(exchange.service, now, isCandidate);
     if (returnsInMs === undefined) {
         return ReservationFailure.NoEngine;
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -2,9 +2,11 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
+import * as away from "./away.js";
 import * as exchanges from "./exchange.js";
 import * as headers from "./headers.js";
 import * as liveness from "./liveness.js";
+import * as regions from "./regions.js";
 import * as sends from "./send.js";
 import * as calls from "./upstream/call.js";
 import * as ranking from "./upstream/ranking.js";
@@ -92,7 +94,7 @@
     const { context, service, latencyTargetAt, remainingMs } = exchange;
     const { clock, pool, random, scope } = context;
     const now = clock();
-    const returnsInMs = pool.returnsInMs(service, now, (upstream) => exchange.mayUse(upstream));
+    const returnsInMs = pool.returnsInMs(service, now, (upstream) => regions.mayUse(exchange, upstream));
     if (returnsInMs === undefined || returnsInMs === 0) {
         return false;
     }
@@ -202,8 +204,8 @@
     }
     const { clock, pool } = exchange.context;
     const jitter = 0.5 + exchange.context.random();
-    if (pool.returnsInMs(exchange.service, clock(), (upstream) => exchange.mayUse(upstream)) !== undefined) {
-        exchange.refuseWhileAway(UNAVAILABLE_RETRY_AFTER_MS * jitter);
+    if (pool.returnsInMs(exchange.service, clock(), (upstream) => regions.mayUse(exchange, upstream)) !== undefined) {
+        away.refuseWhileAway(exchange, UNAVAILABLE_RETRY_AFTER_MS * jitter);
         return;
     }
     if (limitedForMs !== undefined) {
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -5,6 +5,7 @@
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
 import * as streams from "../model/relay.js";
+import * as regions from "../regions.js";
 import * as agents from "../upstream/agent.js";
 import * as calls from "../upstream/call.js";
 import * as envelopes from "./envelope.js";
@@ -42,7 +43,7 @@
         exchange.wasOfferedToHosts = true;
         const { address, port } = context.settings.peers;
         const others = context.storeView.hosts()
-            .filter((host) => host !== `${address}:${port}` && exchange.mayReachHost(host));
+            .filter((host) => host !== `${address}:${port}` && regions.mayReachHost(exchange, host));
         const ranked = this.relayHosts.rank(others, context.clock(), context.random).slice(0, MAX_HOSTS);
         for (const host of ranked) {
             if (exchange.isOver) {
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -5,6 +5,7 @@
 import type * as contexts from "./context.js";
 import type * as exchanges from "./exchange.js";
 import * as json from "./json.js";
+import * as regions from "./regions.js";
 import * as calls from "./upstream/call.js";
 import * as notices from "./upstream/notices.js";
 import type * as wires from "./wire.js";
@@ -66,7 +67,7 @@
 ): Promise<SendOutcome> {
     const { context, request, metadata } = exchange;
     const startedAt = context.clock();
-    const exclusion = exchange.mayUse(upstream) ? context.pool.exclusionOf(upstream, startedAt) : OTHER_REGION;
+    const exclusion = regions.mayUse(exchange, upstream) ? context.pool.exclusionOf(upstream, startedAt) : OTHER_REGION;
     if (exclusion !== undefined) {
         exchange.recordCall(options.call, upstream, `not sent: ${exclusion}`, startedAt);
         return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason: exclusion };
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -173,6 +173,14 @@
                 () => void hostsPoller.refresh(),
             );
             void upstreamPoller.refresh();
+            if (group.isReader) {
+                // The watch, of the former era, ends at its own time.
+                background.runInBackground(
+                    log,
+                    "read configuration",
+                    async () => adoptRead(await registry.readConfiguration()),
+                );
+            }
         }
         era = Math.max(era, latest);
     };
--- a/packages/gateway/src/upstream/ranking.ts
+++ b/packages/gateway/src/upstream/ranking.ts
@@ -1,6 +1,7 @@
 import * as dispatch from "@citronlead/dispatch";
 import type * as routing from "@citronlead/routing";
 import type * as exchanges from "../exchange.js";
+import * as regions from "../regions.js";
 
 /** Where a request is best sent. */
 export type RankingOptions = Omit<dispatch.PlacementOptions, "random">;
@@ -14,6 +15,6 @@
     const { context, service } = exchange;
     const now = context.clock();
     const candidates = context.pool.candidates(service, now)
-        .filter(({ upstream }) => exchange.mayUse(upstream) && isEligible(upstream));
+        .filter(({ upstream }) => regions.mayUse(exchange, upstream) && isEligible(upstream));
     return dispatch.rankCandidates(candidates, { ...options, random: context.random }, now);
 }
