Reports of crashing requests: one log line where they are made, a count elsewhere

Hosts that are told count them now (citronlead_gateway_crash_reports_total).

Tests: stand-ins answer the call that asks a suspected engine for its state.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -99,7 +99,12 @@
         },
         (incarnation, now) => observed.beliefOf(incarnation, now),
     );
-    const quarantine = new quarantines.Quarantine(clock, log, random);
+    const quarantine = new quarantines.Quarantine(
+        clock,
+        log,
+        random,
+        (report, source) => gatewayMetrics.crashReports.inc({ report, source }),
+    );
     const registry = makeRegistry((key, problem) =>
         log.decision("invalid registration in the store", { key, problem })
     );
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -14,6 +14,7 @@
     readonly droppedRequests: promClient.Counter;
     readonly droppedLogLines: promClient.Counter;
     readonly unreadMessages: promClient.Counter<"reason">;
+    readonly crashReports: promClient.Counter<"report" | "source">;
     readonly observations: promClient.Counter<"state" | "source">;
     readonly storeCalls: promClient.Counter<"call" | "result">;
     readonly configurationVersion: promClient.Gauge;
@@ -73,6 +74,11 @@
                 "reason",
             ],
         ),
+        crashReports: counter(
+            "citronlead_gateway_crash_reports_total",
+            "Reports on requests that may crash upstreams.",
+            ["report", "source"],
+        ),
         observations: counter(
             "citronlead_gateway_observations_total",
             "News on upstreams, own and told by other hosts.",
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -17,6 +17,18 @@
 /** Length of a fingerprint in characters. */
 const FINGERPRINT_LENGTH = 16;
 
+/** What hosts tell each other about requests that may crash upstreams. */
+export enum CrashReportKind {
+    Suspected = "suspected",
+    Cleared = "cleared",
+}
+
+/** Who found it. */
+export enum ReportSource {
+    OwnRun = "own run",
+    OtherHost = "other host",
+}
+
 /** A run that was lost as its upstream went down. */
 export interface LostRun {
     readonly upstream: routing.Upstream;
@@ -68,6 +80,8 @@
         private readonly clock: decision.Clock,
         private readonly log: logs.DecisionLog,
         private readonly random: () => number,
+        /** Counts the reports of all hosts: each is logged by the host that makes it. */
+        private readonly onReport: (report: CrashReportKind, source: ReportSource) => void = () => undefined,
     ) {}
 
     /** Sets how other hosts are told; until then they are not. */
@@ -90,7 +104,11 @@
             ranMs: Math.round(this.clock() - run.startedAt),
         };
         this.messages?.broadcastCrash(report);
-        this.recordCrash(report, {
+        this.recordCrash(report, ReportSource.OwnRun);
+        const crashes = [report.content, ...report.parts].map((fingerprint) => this.suspects.crashes(fingerprint));
+        this.log.decision("request suspected of crashing an upstream", {
+            ...report,
+            crashes,
             requestId: metadata.requestId,
             sharedPromptParts: metadata.sharedPromptParts.slice(0, MAX_PARTS),
             passedEvents: run.events,
@@ -99,7 +117,7 @@
 
     /** Handles a crash report of another host. */
     receiveCrash(report: dispatch.CrashReport): void {
-        this.recordCrash(report, { source: "other host" });
+        this.recordCrash(report, ReportSource.OtherHost);
     }
 
     /** Records that a run is past its start, which clears its prompt of crashes. */
@@ -125,7 +143,7 @@
     receiveCleared(fingerprints: readonly string[]): void {
         this.suspects.clear(fingerprints, this.clock());
         this.forgetDecisions(fingerprints);
-        this.log.decision("cleared of crashing upstreams", { fingerprints, source: "other host" });
+        this.onReport(CrashReportKind.Cleared, ReportSource.OtherHost);
     }
 
     /** Takes in the barred fingerprints that the store keeps, and brings it up to date on this host's decisions. */
@@ -162,11 +180,9 @@
         }
     }
 
-    private recordCrash(report: dispatch.CrashReport, origin: Record<string, unknown>): void {
+    private recordCrash(report: dispatch.CrashReport, source: ReportSource): void {
         this.suspects.recordCrash(report, this.clock());
-        const fingerprints = [report.content, ...report.parts];
-        const crashes = fingerprints.map((fingerprint) => this.suspects.crashes(fingerprint));
-        this.log.decision("request suspected of crashing an upstream", { ...report, crashes, ...origin });
+        this.onReport(CrashReportKind.Suspected, source);
         if (this.suspects.hasUndecided) {
             setTimeout(() => this.review(), dispatch.REVIEW_DELAY_MS + 1 + this.random() * REVIEW_SPREAD_MS).unref();
         }
@@ -184,7 +200,8 @@
             wereBarred.forEach((fingerprint) => this.withdrawn.add(fingerprint));
             this.forgetDecisions(cleared);
             this.messages?.broadcastCleared(cleared);
-            this.log.decision("cleared of crashing upstreams", { fingerprints: cleared, source: "own run" });
+            this.onReport(CrashReportKind.Cleared, ReportSource.OwnRun);
+            this.log.decision("cleared of crashing upstreams", { fingerprints: cleared, source: ReportSource.OwnRun });
         }
         if (this.suspects.hasUndecided) {
             this.review();
--- a/packages/gateway/test/crashingparts.test.ts
+++ b/packages/gateway/test/crashingparts.test.ts
@@ -20,7 +20,7 @@
         if (received.path === "/reserve") {
             response.end(JSON.stringify({ id: "reservation" }));
         }
-        else if (received.method === "DELETE") {
+        else if (received.method === "DELETE" || received.path === "/state") {
             response.end();
         }
         else if (parts.includes(CRASHING_PART)) {
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -124,7 +124,7 @@
 /** How an engine responds that grants each reservation, and runs requests as given. */
 export function engineThatRuns(run: Behaviour): Behaviour {
     return (received, response, request) =>
-        received.path === "/reserve" || received.method === "DELETE"
+        received.path === "/reserve" || received.path === "/state" || received.method === "DELETE"
             ? void response.end(JSON.stringify({ id: "reservation" }))
             : run(received, response, request);
 }
