Readers tell what has changed in the store, so that the others need not read it

A reader's update now carries the patch from the former listing or configuration, and a digest of the result; who can rebuild it reads nothing, also while the store turns it away. A long patch, another base or a build that tells none: a read as before. Hosts whose registration is not renewed do not ask for the list of hosts; readers repeat a failed read each half listing period, not each 250 ms.

--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -44,6 +44,9 @@
 const amount = zod.number().min(0).max(1e15);
 /** Many times the observations that a host sends in one datagram. */
 const MAX_OBSERVATIONS = 200;
+/** Longer than the patches that hosts send. */
+const MAX_PATCH_CHARACTERS = 16_384;
+const patch = zod.string().max(MAX_PATCH_CHARACTERS);
 const fingerprintsSchema = zod.array(text).readonly();
 
 /** Maximum number of emptied zones in a message. */
@@ -103,6 +106,8 @@
             upstreams: text,
             ageMs: amount,
             configuration: amount.optional(),
+            upstreamsChange: zod.object({ from: text, patch }).optional(),
+            configurationChange: zod.object({ from: text, patch, digest: text }).optional(),
             evacuations: evacuationsSchema.optional().catch(undefined),
         }),
     }),
--- a/packages/gateway/src/store/directory.ts
+++ b/packages/gateway/src/store/directory.ts
@@ -33,11 +33,19 @@
     };
 }
 
+/** Former listings that the next change may start from: that of the other reader, and one whose message was lost. */
+const FORMER_LISTINGS = 2;
+/** Number of updates in which a change is told. */
+const CHANGE_TELLS = 3;
+
 /** Tracks the listings of upstreams in the store and updates the pool from them. */
 export class UpstreamDirectory {
     private directory = routing.emptyDirectory;
     private listing: readonly routing.Upstream[] = [];
+    private former: (readonly routing.Upstream[])[] = [];
     private listingVersion: routing.ListingVersion | undefined;
+    private change: routing.Change | undefined;
+    private changeTells = 0;
 
     constructor(
         private readonly clock: decision.Clock,
@@ -54,11 +62,44 @@
     /** Applies a listing that was requested at `requestedAt`. */
     applyListing({ upstreams, era, revision }: registries.UpstreamListing, requestedAt: decision.Milliseconds): void {
         const restored = this.listingVersion !== undefined && era > this.listingVersion.era;
-        this.listing = upstreams;
-        this.listingVersion = { era, revision, digest: routing.digestUpstreams(upstreams) };
+        const digest = routing.digestUpstreams(upstreams);
+        if (this.listingVersion && digest !== this.listingVersion.digest) {
+            this.change = routing.diffListings(this.listing, upstreams);
+            this.changeTells = CHANGE_TELLS;
+        }
+        this.replaceListing(upstreams, { era, revision, digest });
         this.apply(requestedAt, restored);
     }
 
+    /** Applies the change that another host has read. Returns whether this host's listing is now the same as that one's. */
+    applyChange({ era, revision, upstreams: digest, upstreamsChange, ageMs }: routing.StoreUpdate): boolean {
+        if (!upstreamsChange || era !== this.listingVersion?.era) {
+            return false;
+        }
+        for (const base of [this.listing, ...this.former]) {
+            const next = routing.applyListingChange(base, upstreamsChange, digest);
+            if (next) {
+                this.replaceListing(next, { era, revision, digest });
+                this.apply(this.clock() - ageMs);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The latest change of the listing, in the first updates after it. */
+    takeChange(): routing.Change | undefined {
+        return this.changeTells-- > 0 ? this.change : undefined;
+    }
+
+    private replaceListing(upstreams: readonly routing.Upstream[], version: routing.ListingVersion): void {
+        if (version.digest !== this.listingVersion?.digest) {
+            this.former = [this.listing, ...this.former].slice(0, FORMER_LISTINGS);
+        }
+        this.listing = upstreams;
+        this.listingVersion = version;
+    }
+
     /** Compares another host's listing to the newest one of this host. */
     compareListing(update: routing.StoreUpdate): routing.ListingComparison {
         return routing.compareListing(this.listingVersion, update);
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -17,7 +17,7 @@
 /** Two readers per 24 hosts: the messages of a reader stay under 3 KB per second. */
 const READER_GROUP_OPTIONS: routing.ReaderGroupOptions = { groupSize: 24, readers: 2 };
 /**
- * Delay after a failed read at a reader, and after the first one at a follower: short enough to notice a departure in
+ * Delay after a first failed read: short enough to notice a departure in
  * time even after a call that timed out, on a dead connection for example.
  */
 const SHORT_RETRY_DELAY_MS = 250;
@@ -26,6 +26,8 @@
  * no more than those of the readers, who send an update once the store is available again.
  */
 const FOLLOWER_RETRY_PERIODS = 1;
+/** The same at a reader. */
+const READER_RETRY_PERIODS = 0.5;
 /** Hosts register again within this time after the store has come back from a copy, not all at once. */
 const REREGISTRATION_SPREAD_MS = 400;
 /** How long hosts that were registered before count as registered: they need a reader's update and a call. */
@@ -37,6 +39,9 @@
 const ASKED_HOSTS = 3;
 const ASK_PERIOD_MS = 1_000;
 
+/** Number of updates in which the latest change of the configuration is told. */
+const CONFIGURATION_TELLS = 4;
+
 /** Sends what was read in the store to the given hosts. */
 export type PublishUpdate = (update: routing.StoreUpdate, hosts: readonly string[]) => void;
 
@@ -88,10 +93,11 @@
 /** Keeps a view of the store up to date until the scope closes. */
 export function openStoreView(options: StoreViewOptions): StoreView {
     const { scope, clock, log, registry, freshness } = options;
-    const retryDelayMs = (failures: number) =>
-        group.isReader || failures === 1
-            ? SHORT_RETRY_DELAY_MS
-            : freshness().listingPeriodMs * FOLLOWER_RETRY_PERIODS;
+    const retryDelayMs = (failures: number) => {
+        const longestMs = freshness().listingPeriodMs
+            * (group.isReader ? READER_RETRY_PERIODS : FOLLOWER_RETRY_PERIODS);
+        return failures === 1 ? SHORT_RETRY_DELAY_MS : Math.max(SHORT_RETRY_DELAY_MS, longestMs);
+    };
     const sharedOptions = { scope, clock, log, metrics: options.metrics, retryDelayMs };
     const maxSilenceMs = () => freshness().listingPeriodMs * directories.MAX_SILENT_PERIODS;
     let active: routing.ActiveConfiguration | undefined;
@@ -120,7 +126,13 @@
                 ageMs: upstreamPoller.ageMs,
             };
             publishUpdate(
-                { ...update, configuration: isFresh ? version() : undefined, evacuations: keeper.listing },
+                {
+                    ...update,
+                    configuration: isFresh ? version() : undefined,
+                    evacuations: keeper.listing,
+                    upstreamsChange: directory.takeChange(),
+                    configurationChange: isFresh && configurationTells-- > 0 ? configurationChange : undefined,
+                },
                 group.otherHosts,
             );
         }
@@ -136,6 +148,8 @@
             .sort((one, other) => one.order - other.order);
         askEvacuations?.(drawn.slice(0, ASKED_HOSTS).map(({ host }) => host));
     };
+    let configurationChange: routing.StoreUpdate["configurationChange"];
+    let configurationTells = 0;
     const adoptRead = (read: decision.Outcome<routing.RoutingConfiguration | undefined>) => {
         if (keeper.adopt(registry.evacuations(), "store")) {
             publish();
@@ -147,20 +161,29 @@
         if (!read.value) {
             return read;
         }
-        const next = routing.adoptConfiguration(active, read.value, clock());
-        if (next !== active) {
-            log.notice("configuration in force", {
-                version: read.value.version,
-                formerVersion: active?.table.configuration.version,
-                routes: read.value.routes.length,
-                reader: group.isReader,
-            });
-            options.metrics.configurationVersion.set(read.value.version);
-            active = next;
-            publish();
-        }
+        adopt(read.value, "store");
         return read;
     };
+    const adopt = (configuration: routing.RoutingConfiguration, source: string) => {
+        const next = routing.adoptConfiguration(active, configuration, clock());
+        if (next === active) {
+            return;
+        }
+        const former = active?.table.configuration;
+        log.notice("configuration in force", {
+            version: configuration.version,
+            formerVersion: former?.version,
+            routes: configuration.routes.length,
+            reader: group.isReader,
+            source,
+        });
+        options.metrics.configurationVersion.set(configuration.version);
+        const change = former && group.isReader ? routing.diffConfigurations(former, configuration) : undefined;
+        configurationChange = change && { ...change, digest: routing.digestConfiguration(configuration) };
+        configurationTells = CONFIGURATION_TELLS;
+        active = next;
+        publish();
+    };
     let era = registry.storeEra();
     let hostGraceUntil: decision.Milliseconds = -Infinity;
     const checkEra = () => {
@@ -178,11 +201,18 @@
         }
         era = Math.max(era, latest);
     };
+    let hasListedHosts = false;
     const refreshHosts = async () => {
-        // Listed first, so that a host that starts knows what is barred as soon as it can.
-        const listed = await registry.listFleet();
+        // Listed first at the start, so that a host knows what is barred as soon as it can; later a store that does not renew
+        // the registration is not asked for the list either.
+        const known = hasListedHosts ? undefined : await registry.listFleet();
         const registered = await registry.registerHost(options.host, options.address, options.availabilityZone);
+        if (known === undefined && registered.effect !== decision.Effect.Known) {
+            return registered;
+        }
+        const listed = known ?? await registry.listFleet();
         if (listed.effect === decision.Effect.Known) {
+            hasListedHosts = true;
             const { barred } = listed.value;
             background.runInBackground(
                 log,
@@ -231,6 +261,7 @@
     const hostsPoller: pollers.StorePoller = new pollers.StorePoller({
         ...sharedOptions,
         name: "hosts",
+        retryDelayMs: (failures) => failures === 1 ? SHORT_RETRY_DELAY_MS : REGISTRATION_RENEWAL_MS,
         maxAgeMs: () => REGISTRATION_RENEWAL_MS,
         read: refreshHosts,
         onRead: checkEra,
@@ -238,6 +269,15 @@
     scope.defer(async () => {
         await registry.unregisterHost();
     });
+    /** Applies the change that another host has read. */
+    const takeOverConfiguration = ({ configuration, configurationChange: change }: routing.StoreUpdate) => {
+        const changed = change && active && configuration !== undefined && configuration > version()
+            ? routing.applyConfigurationChange(active.table.configuration, change, change.digest)
+            : undefined;
+        if (changed) {
+            adopt(changed, "other host");
+        }
+    };
     const receiveConfigurationVersion = (receivedVersion: number | undefined, tellsEvacuations: boolean) => {
         if (receivedVersion !== undefined && receivedVersion > version()) {
             // A reader does this too, in addition to its watch, because the connection of the watch may be dead.
@@ -278,6 +318,7 @@
                 void upstreamPoller.refresh();
                 return;
             }
+            takeOverConfiguration(update);
             receiveConfigurationVersion(update.configuration, update.evacuations !== undefined);
             switch (directory.compareListing(update)) {
                 case routing.ListingComparison.Same:
@@ -285,6 +326,10 @@
                     upstreamPoller.confirm(update.ageMs);
                     return;
                 case routing.ListingComparison.Newer:
+                    if (directory.applyChange(update)) {
+                        upstreamPoller.confirm(update.ageMs);
+                        return;
+                    }
                     void upstreamPoller.refresh();
                     return;
                 case routing.ListingComparison.Older:
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -170,6 +170,57 @@
         chai.expect(follower.view.activeConfiguration()?.table.configuration.version).to.equal(2);
     });
 
+    it("takes over what an update says has changed, without a read, also while the store turns it away", async () => {
+        const follower = await start(false, 2_000);
+        const former = follower.upstreams;
+        const active = follower.view.activeConfiguration()?.table.configuration as routing.RoutingConfiguration;
+        const before = { listings: follower.listings, configurationReads: follower.configurationReads };
+        const next = [fixtures.makeUpstream("u-1", { address: "10.0.1.1:80" })];
+        const configuration = { ...active, version: 2, limits: { ...active.limits, bodyBytes: 7 } };
+        const configurationChange = {
+            ...routing.diffConfigurations(active, configuration) as routing.Change,
+            digest: routing.digestConfiguration(configuration),
+        };
+        follower.storeDown = true;
+        follower.upstreams = next;
+        follower.revision = 5;
+        follower.version = 2;
+        const upstreamsChange = routing.diffListings(former, next);
+        follower.view.receiveUpdate(follower.makeUpdate({ upstreamsChange, configurationChange }));
+        await lifecycle.pause(follower.scope, 50);
+        chai.expect(follower.view.activeConfiguration()?.table.configuration).to.deep.equal(configuration);
+        chai.expect(follower.pool.hasAcceptingUpstreams).to.equal(true);
+        // The other reader tells what it knows from the listing before.
+        follower.revision = 6;
+        follower.upstreams = [];
+        const later = routing.diffListings(former, []);
+        follower.view.receiveUpdate(follower.makeUpdate({ upstreamsChange: later }));
+        await lifecycle.pause(follower.scope, 50);
+        chai.expect(follower.pool.hasAcceptingUpstreams).to.equal(false);
+        chai.expect({ listings: follower.listings, configurationReads: follower.configurationReads })
+            .to.deep.equal(before);
+        // A change from a listing that this host never had is no help.
+        follower.view.receiveUpdate(
+            follower.makeUpdate({ upstreams: "other", upstreamsChange: { from: "unknown", patch: "{}" } }),
+        );
+        await lifecycle.pause(follower.scope, 20);
+        chai.expect(follower.listings).to.equal(before.listings + 1);
+    });
+
+    it("tells what has changed in the first updates after a reader's read", async () => {
+        const reader = await start(true);
+        reader.published.length = 0;
+        const former = reader.upstreams;
+        reader.upstreams = [fixtures.makeUpstream("u-1", { address: "10.0.1.1:80" })];
+        reader.revision++;
+        await lifecycle.pause(reader.scope, PERIOD_MS * 8);
+        const told = reader.published.flatMap((update) => update.upstreamsChange ? [update] : []);
+        chai.expect(told.length).to.be.within(1, 4);
+        const [first] = told as [routing.StoreUpdate];
+        chai.expect(routing.applyListingChange(former, first.upstreamsChange as routing.Change, first.upstreams))
+            .to.deep.equal(JSON.parse(JSON.stringify(reader.upstreams)));
+    });
+
     it("retries at a low rate at a follower while the store is down, and reads at once when a reader sends an update", async () => {
         const periodMs = 600;
         const follower = await start(false, periodMs);
--- a/packages/gateway/test/versions.test.ts
+++ b/packages/gateway/test/versions.test.ts
@@ -11,7 +11,7 @@
         if (received.path === "/reserve") {
             response.end(JSON.stringify({ id: `${name}-reservation` }));
         }
-        else if (received.method === "DELETE") {
+        else if (received.method === "DELETE" || received.path === "/state") {
             response.end();
         }
         else {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,6 +3,7 @@
  * directory of upstreams. Performs no I/O.
  */
 export * from "./active.js";
+export * from "./changes.js";
 export * from "./configuration.js";
 export * from "./directory.js";
 export * from "./evacuations.js";
--- a/packages/routing/src/readers.ts
+++ b/packages/routing/src/readers.ts
@@ -1,5 +1,6 @@
 import type * as decision from "@citronlead/decision";
 import * as crypto from "node:crypto";
+import type * as changes from "./changes.js";
 import type * as evacuations from "./evacuations.js";
 import * as upstreams from "./upstream.js";
 
@@ -48,6 +49,10 @@
     readonly ageMs: decision.Milliseconds;
     /** Newest version of the configuration; undefined while the reader's own copy may be stale. */
     readonly configuration: number | undefined;
+    /** How the listing differs from a former one; undefined if that is not told. */
+    readonly upstreamsChange?: changes.Change | undefined;
+    /** How the configuration differs from a former one, and the digest of the result. */
+    readonly configurationChange?: changes.Change & { readonly digest: string; } | undefined;
     /** The emptied zones as of the reader's last read; undefined from hosts of builds that know of none. */
     readonly evacuations?: evacuations.EvacuationListing | undefined;
 }
@@ -83,18 +88,21 @@
 
 /** Digest of the fields that affect routing. The other fields change with each heartbeat of an upstream. */
 export function digestUpstreams(listing: readonly upstreams.Upstream[]): string {
-    const lines = listing.map((upstream) =>
-        [
-            upstreams.incarnationOf(upstream),
-            upstream.service,
-            upstream.address,
-            upstream.availabilityZone,
-            upstream.state,
-            upstream.slots,
-            upstream.stage,
-            upstream.warmUpLeftMs > 0,
-            upstream.softwareVersion,
-        ].join(" ")
-    );
+    const lines = listing.map(routingFieldsOf);
     return crypto.createHash("sha1").update(lines.sort().join("\n")).digest("base64url").slice(0, 16);
 }
+
+/** The fields of an upstream that affect routing, as text. */
+export function routingFieldsOf(upstream: upstreams.Upstream): string {
+    return [
+        upstreams.incarnationOf(upstream),
+        upstream.service,
+        upstream.address,
+        upstream.availabilityZone,
+        upstream.state,
+        upstream.slots,
+        upstream.stage,
+        upstream.warmUpLeftMs > 0,
+        upstream.softwareVersion,
+    ].join(" ");
+}
