--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -1,3 +1,4 @@
+import * as dispatch from "@citronlead/dispatch";
 import * as zod from "zod";
 import * as json from "./json.js";
 
@@ -19,6 +20,8 @@
     Cleared = "cleared",
     /** Carries what a reader of the store has read. */
     StoreUpdate = "news",
+    /** Tells what hosts have seen of upstreams. */
+    Observations = "observed",
     /** From a host that cannot read the store: asks for the emptied zones. */
     AskEvacuations = "askEvacuations",
     /** Tells which zones are emptied. */
@@ -39,6 +42,11 @@
 const text = zod.string().max(MAX_TEXT_CHARACTERS);
 /** Sums and products of such numbers are finite. */
 const amount = zod.number().min(0).max(1e15);
+/** Many times the observations that a host sends in one datagram. */
+const MAX_OBSERVATIONS = 200;
+/** Longer than the patches that hosts send. */
+const MAX_PATCH_CHARACTERS = 16_384;
+const patch = zod.string().max(MAX_PATCH_CHARACTERS);
 const fingerprintsSchema = zod.array(text).readonly();
 
 /** Maximum number of emptied zones in a message. */
@@ -98,9 +106,20 @@
             upstreams: text,
             ageMs: amount,
             configuration: amount.optional(),
+            upstreamsChange: zod.object({ from: text, patch }).optional(),
+            configurationChange: zod.object({ from: text, patch, digest: text }).optional(),
             evacuations: evacuationsSchema.optional().catch(undefined),
         }),
     }),
+    zod.object({
+        kind: zod.literal(MessageKind.Observations),
+        observations: zod.array(zod.object({
+            incarnation: text,
+            state: zod.enum(dispatch.ObservedState),
+            observer: text,
+            ageMs: amount,
+        })).max(MAX_OBSERVATIONS),
+    }),
     zod.object({ kind: zod.literal(MessageKind.AskEvacuations) }),
     zod.object({ kind: zod.literal(MessageKind.Evacuations), listing: evacuationsSchema }),
 ]);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -14,6 +14,8 @@
     readonly droppedRequests: promClient.Counter;
     readonly droppedLogLines: promClient.Counter;
     readonly unreadMessages: promClient.Counter<"reason">;
+    readonly crashReports: promClient.Counter<"report" | "source">;
+    readonly observations: promClient.Counter<"state" | "source">;
     readonly storeCalls: promClient.Counter<"call" | "result">;
     readonly configurationVersion: promClient.Gauge;
     readonly emptiedZones: promClient.Gauge<"zone">;
@@ -72,6 +74,16 @@
                 "reason",
             ],
         ),
+        crashReports: counter(
+            "citronlead_gateway_crash_reports_total",
+            "Reports on requests that may crash upstreams.",
+            ["report", "source"],
+        ),
+        observations: counter(
+            "citronlead_gateway_observations_total",
+            "News on upstreams, own and told by other hosts.",
+            ["state", "source"],
+        ),
         storeCalls: counter("citronlead_gateway_store_calls_total", "Calls to the store.", ["call", "result"]),
         configurationVersion: new promClient.Gauge({
             name: "citronlead_gateway_configuration_version",
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -94,6 +94,8 @@
     upstream: routing.Upstream;
     readonly received: Received[];
     behave: Behaviour;
+    /** Closes its port and its connections, as a crash does. */
+    readonly stop: () => Promise<void>;
 }
 
 /** A registered upstream of a plain service. */
@@ -122,7 +124,7 @@
 /** How an engine responds that grants each reservation, and runs requests as given. */
 export function engineThatRuns(run: Behaviour): Behaviour {
     return (received, response, request) =>
-        received.path === "/reserve" || received.method === "DELETE"
+        received.path === "/reserve" || received.path === "/state" || received.method === "DELETE"
             ? void response.end(JSON.stringify({ id: "reservation" }))
             : run(received, response, request);
 }
@@ -173,14 +175,16 @@
             });
         });
         await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-        this.scope.defer(() => {
+        const stop = async () => {
             server.close();
             server.closeAllConnections();
-        });
+        };
+        this.scope.defer(stop);
         const { port } = server.address() as net.AddressInfo;
         const standIn: StandIn = {
             upstream: makeUpstream(id, { address: `127.0.0.1:${port}`, ...change }),
             received: [],
+            stop,
             behave: (received, response) => signed(response, received, id),
         };
         this.standIns.push(standIn);
