Clients that send ahead and don't read: count and bound what is held for callers

Cause: Node parses all requests of a piece of 64 KiB at once, and a connection whose last response had begun to end it was read and parsed on, each request being kept until the connection closed. Nothing bounded connections, unread answers, waiting bodies or heads that stop halfway.

Change: a connection's bytes are parsed up to the end of the next head at a time (intake.ts); what is held for callers (heads, bodies until the response, queued requests, unread answers) is counted in one place (bodies.HeldMemory), the largest holder is closed first; connections are bounded by the machine's descriptors, idle ones are closed first; heads, unused connections and unread answers have the configuration's times. The same on the port for hosts, for metrics and for readiness.

platform/test/sendahead, real process with deploy's options of Node (heap 96), 160 MB and 500 descriptors in its settings; crowd and bounds fixed before the change.

--- a/packages/bodies/src/collector.ts
+++ b/packages/bodies/src/collector.ts
@@ -1,29 +1,10 @@
+import type * as memories from "./memory.js";
+
 /** Memory that a piece of a body costs beside its bytes. */
 export const PIECE_OVERHEAD_BYTES = 256;
 /** Number of pieces that a body of any limit may have. */
 const MIN_PIECES = 4_096;
 
-/** Memory that all bodies of one kind may take together, in bytes. */
-export class MemoryBudget {
-    private takenBytes = 0;
-
-    constructor(private readonly limitBytes: number) {}
-
-    /** Takes memory. Returns false, and takes none, if there is less. */
-    tryTake(bytes: number): boolean {
-        if (this.takenBytes + bytes > this.limitBytes) {
-            return false;
-        }
-        this.takenBytes += bytes;
-        return true;
-    }
-
-    /** Gives back memory that was taken. */
-    release(bytes: number): void {
-        this.takenBytes -= bytes;
-    }
-}
-
 /** Whether a piece of a body was added. */
 export enum AddResult {
     Added = "added",
@@ -39,7 +20,7 @@
     private lengthBytes = 0;
     private takenBytes = 0;
 
-    constructor(private readonly limitBytes: number, private readonly memory: MemoryBudget) {}
+    constructor(private readonly limitBytes: number, private readonly memory: memories.Memory) {}
 
     /** Adds a piece, unless a bound is reached. */
     add(piece: Buffer): AddResult {
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,6 +3,7 @@
  * quotas, and blocking of requests that crash upstreams. Performs no I/O; the current time is passed in.
  */
 export * from "./budget.js";
+export * from "./callerbounds.js";
 export * from "./crashes.js";
 export * from "./forecast.js";
 export * from "./gate.js";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import * as bodies from "@citronlead/bodies";
 import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
@@ -46,6 +47,7 @@
     "metrics",
     "peers",
     "quotaWindowMs",
+    "machine",
 ]);
 
 /** A running gateway. */
@@ -163,9 +165,18 @@
         logOutcome: (exchange, reason, status) => logOutcome(context, exchange, reason, status),
     };
     const models = new handlers.ModelRequestHandler(context);
-    const callers = await servers.openCallerServer(context, models, settings.callers);
+    const bounds = dispatch.boundsOf(settings.machine);
+    const memory = new bodies.HeldMemory(bounds.heldBytes);
+    gatewayMetrics.watchHeldBytes(() => memory.heldBytes);
+    const boundedTo = (maxConnections: number) => ({ maxConnections, memory });
+    const callers = await servers.openCallerServer(
+        context,
+        models,
+        settings.callers,
+        boundedTo(bounds.callerConnections),
+    );
     // Requests that other hosts relay arrive at the TCP port of the same number as the UDP port for messages.
-    const relayed = await servers.openCallerServer(context, models, settings.peers, {
+    const relayed = await servers.openCallerServer(context, models, settings.peers, boundedTo(bounds.hostConnections), {
         markRequest: envelopes.markRelayed,
         accepts: (request, configuration) =>
             !hostStop.isStopping && configuration >= (envelopes.relayedRequestOf(request)?.configuration ?? Infinity),
@@ -174,10 +185,18 @@
     await endpoints.openReadinessServer(
         scope,
         settings.readiness,
+        boundedTo(bounds.probeConnections),
         wireFormat.readinessPath,
         () => !hostStop.isStopping && storeView.activeConfiguration() !== undefined && pool.hasAcceptingUpstreams,
     );
-    await endpoints.openMetricsServer(scope, settings.metrics, settings.metrics.path, gatewayMetrics.registry, log);
+    await endpoints.openMetricsServer(
+        scope,
+        settings.metrics,
+        boundedTo(bounds.probeConnections),
+        settings.metrics.path,
+        gatewayMetrics.registry,
+        log,
+    );
     log.notice("started", { callers: settings.callers, metrics: settings.metrics });
     const stop = async () => {
         const plan = dispatch.planStop(clock(), current.stopPeriodMs);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -10,6 +10,9 @@
     readonly duration: promClient.Histogram<"service">;
     readonly waiting: promClient.Histogram<"service">;
     readonly connections: promClient.Counter;
+    readonly closedConnections: promClient.Counter<"reason">;
+    /** Starts to report the memory that is held for callers. */
+    readonly watchHeldBytes: (heldBytes: () => number) => void;
     readonly stoppingRequests: promClient.Counter<"decision">;
     readonly droppedRequests: promClient.Counter;
     readonly droppedLogLines: promClient.Counter;
@@ -55,6 +58,19 @@
         duration: histogram("citronlead_gateway_duration_seconds", "From arrival to the end of the answer."),
         waiting: histogram("citronlead_gateway_waiting_seconds", "Time spent waiting for room at an engine."),
         connections: counter("citronlead_gateway_connections_total", "Connections opened to upstreams.", []),
+        closedConnections: counter(
+            "citronlead_gateway_closed_connections_total",
+            "Connections of callers and hosts that were closed to stay within a bound, by reason.",
+            ["reason"],
+        ),
+        watchHeldBytes: (heldBytes) => {
+            const gauge: promClient.Gauge = new promClient.Gauge({
+                name: "citronlead_gateway_held_bytes",
+                help: "Memory that is held for callers.",
+                registers,
+                collect: () => gauge.set(heldBytes()),
+            });
+        },
         stoppingRequests: counter("citronlead_gateway_stopping_requests_total", "Requests while stopping.", [
             "decision",
         ]),
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -1,6 +1,7 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
+import * as connections from "../connections.js";
 import type * as contexts from "../context.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
@@ -324,7 +325,12 @@
         response: Extract<sends.SendOutcome, { kind: sends.SendKind.Response; }>["response"],
     ): Promise<dispatch.SendEffect | undefined> {
         const status = response.statusCode ?? 502;
-        const body = await calls.readBody(response, exchange.remainingMs);
+        const body = await calls.readBody(
+            response,
+            exchange.remainingMs,
+            undefined,
+            connections.memoryOf(exchange.request),
+        );
         if (exchange.isOver) {
             return undefined;
         }
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -2,6 +2,7 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
+import * as connections from "./connections.js";
 import * as exchanges from "./exchange.js";
 import * as headers from "./headers.js";
 import * as liveness from "./liveness.js";
@@ -151,7 +152,12 @@
     { response, metadata }: Extract<sends.SendOutcome, { kind: sends.SendKind.Response; }>,
     runs: number,
 ): Promise<dispatch.SendEffect | undefined> {
-    const body = await calls.readBody(response, exchange.remainingMs);
+    const body = await calls.readBody(
+        response,
+        exchange.remainingMs,
+        undefined,
+        connections.memoryOf(exchange.request),
+    );
     const status = response.statusCode ?? 502;
     const success = status >= 200 && status < 300;
     if (!body || response.headers["content-encoding"] !== undefined || (success && !metadata.signed)) {
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -32,11 +32,9 @@
 /** Mean Retry-After while no host reaches the upstreams of a service. */
 const UNREACHABLE_RETRY_AFTER_MS = 800;
 
-/** Memory for all bodies of requests that are being read. */
-const requestBodies = new bodies.MemoryBudget(32 * 1_048_576);
 /** Longest time to read the body of a request; its caller may wait less. */
 const BODY_TIMEOUT_MS = 30 * decision.SECOND_MS;
-/** Mean Retry-After while the bodies of other requests take all of their memory. */
+/** Mean Retry-After while what is held for other callers takes all of its memory. */
 const NO_MEMORY_RETRY_AFTER_MS = 500;
 
 /** The HTTP server for callers. */
@@ -63,6 +61,7 @@
     context: contexts.GatewayContext,
     models: handlers.ModelRequestHandler,
     listen: settings.ListenAddress,
+    bounds: Pick<connections.ConnectionLimits, "maxConnections" | "memory">,
     relay?: RelayServerOptions,
 ): Promise<CallerServer> {
     const server = http.createServer({
@@ -70,28 +69,40 @@
         keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
         headersTimeout: 0,
         requestTimeout: 0,
+        // Node would answer such a request itself, out of turn.
+        requireHostHeader: false,
         noDelay: true,
     });
     const limits = () => context.storeView.activeConfiguration()?.table.configuration.limits ?? DEFAULT_LIMITS;
     const idOf = ({ headers }: http.IncomingMessage) => context.wireFormat.parseRequest(headers).requestId;
-    const callers = new connections.CallerConnections(server, context.clock, {
-        serve: (request, response) => {
-            server.keepAliveTimeout = limits().idleTimeoutMs;
-            relay?.markRequest(request);
-            response.on("error", () => undefined);
-            handleRequest(context, models, limits(), relay, request, response).catch((error: unknown) =>
-                handleInternalError(context, response, error)
-            );
+    const callers: connections.CallerConnections = new connections.CallerConnections(
+        server,
+        context.clock,
+        {
+            serve: (request, response) => {
+                server.keepAliveTimeout = limits().idleTimeoutMs;
+                relay?.markRequest(request);
+                response.on("error", () => undefined);
+                handleRequest(context, models, limits(), relay, request, response).catch((error: unknown) =>
+                    handleInternalError(context, response, error)
+                );
+            },
+            onDropped: (requests) => {
+                context.metrics.droppedRequests.inc(requests.length);
+                context.log.decision("requests behind the last response of a connection", {
+                    count: requests.length,
+                    requestIds: requests.map(idOf),
+                    sinceStopMs: context.hostStop.sinceMs,
+                });
+            },
+            onClosed: (reason, heldBytes) => {
+                context.metrics.closedConnections.inc({ reason });
+                context.log.decision("connection closed", { reason, heldBytes, connections: callers.openConnections });
+            },
         },
-        onDropped: (requests) => {
-            context.metrics.droppedRequests.inc(requests.length);
-            context.log.decision("requests behind the last response of a connection", {
-                count: requests.length,
-                requestIds: requests.map(idOf),
-                sinceStopMs: context.hostStop.sinceMs,
-            });
-        },
-    });
+        { ...bounds, times: () => ({ headMs: limits().headerTimeoutMs, idleMs: limits().idleTimeoutMs }) },
+        context.scope,
+    );
     server.on("clientError", (error, socket) => {
         context.log.decision("malformed request", { reason: error.message });
         socket.destroy();
@@ -141,7 +152,8 @@
         response.shouldKeepAlive = false;
         refuse(status, reason, retryAfterMs);
     };
-    const problem = heads.findMalformedHeader(request.rawHeaders);
+    const problem = heads.findMalformedHeader(request.rawHeaders)
+        ?? (request.headers.host === undefined && request.httpVersion === "1.1" ? "no host" : undefined);
     if (problem !== undefined) {
         context.log.decision("malformed request", { requestId: metadata.requestId, reason: problem });
         refuseAndClose(400, exchanges.FinalReason.BadRequest);
@@ -154,6 +166,7 @@
     }
     const body = await readBody(
         request,
+        connections.memoryOf(request) ?? NO_MEMORY,
         limits.bodyBytes,
         Math.min(metadata.timeoutMs ?? Infinity, BODY_TIMEOUT_MS),
         (callback) => context.hostStop.onLastAnswers(callback),
@@ -242,6 +255,9 @@
     return request.rawHeaders.reduce((sum, part) => sum + part.length + 2, (request.url ?? "").length);
 }
 
+/** For a request of which nothing more is held. */
+const NO_MEMORY: bodies.Memory = { tryTake: () => false, release: () => undefined };
+
 enum BodyProblem {
     TooLong = "tooLong",
     NoMemory = "noMemory",
@@ -255,6 +271,7 @@
 /** Reads the body of a request. Undefined if the request has none. */
 function readBody(
     request: http.IncomingMessage,
+    memory: bodies.Memory,
     limitBytes: number,
     timeoutMs: decision.Milliseconds,
     onLastAnswers: (callback: () => void) => () => void,
@@ -262,7 +279,7 @@
     const hasBody = request.headers["content-length"] !== undefined
         || request.headers["transfer-encoding"] !== undefined;
     return new Promise((resolve) => {
-        const collector = new bodies.BodyCollector(limitBytes, requestBodies);
+        const collector = new bodies.BodyCollector(limitBytes, memory);
         let finished = false;
         const finish = (result: Buffer | undefined | BodyProblem) => {
             if (!finished) {
@@ -288,7 +305,11 @@
                 finish(added === bodies.AddResult.TooLong ? BodyProblem.TooLong : BodyProblem.NoMemory);
             }
         });
-        request.on("end", () => finish(hasBody ? collector.finish() : undefined));
+        request.on("end", () => {
+            const body = hasBody ? collector.finish() : undefined;
+            // The pieces were counted with more; the body is held until the response has been sent.
+            finish(finished || memory.tryTake(body?.length ?? 0) ? body : BodyProblem.NoMemory);
+        });
         request.on("error", () => finish(BodyProblem.Broken));
         request.on("close", () => finish(BodyProblem.Broken));
     });
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -33,4 +33,6 @@
     readonly quotaWindowMs: decision.Milliseconds;
     readonly retries: dispatch.RetryLimits;
     readonly freshness: Freshness;
+    /** What the machine allows this process; the bounds on what is held for callers follow from it. */
+    readonly machine: dispatch.MachineLimits;
 }
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -214,16 +214,17 @@
 const bufferedBodies = new bodies.MemoryBudget(MAX_TOTAL_BUFFERED_BYTES);
 
 /**
- * Reads a whole response body. Undefined if it is incomplete, longer than the limit or in too many pieces, does not fit in
+ * Reads a whole response body into the given memory. Undefined if it is incomplete, longer than the limit or in too many pieces, does not fit in
  * memory beside the others, or takes too long; its connection is closed then.
  */
 export function readBody(
     response: http.IncomingMessage,
     timeoutMs: decision.Milliseconds,
     limitBytes = MAX_BUFFERED_BODY_BYTES,
+    memory: bodies.Memory = bufferedBodies,
 ): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-        const collector = new bodies.BodyCollector(limitBytes, bufferedBodies);
+        const collector = new bodies.BodyCollector(limitBytes, memory);
         const timer = setTimeout(() => response.destroy(), Math.max(1, timeoutMs));
         response.on("data", (chunk: Buffer) => {
             if (!response.destroyed && collector.add(chunk) !== bodies.AddResult.Added) {
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -238,6 +238,7 @@
             quotaWindowMs: 8_000,
             freshness: { listingPeriodMs: 1_000, configurationWatchMs: 2_000 },
             retries: this.retries,
+            machine: { memoryBytes: 200 * 1_048_576, descriptors: 4_096 },
         };
     }
 
