--- a/packages/dispatch/src/callerbounds.ts
+++ b/packages/dispatch/src/callerbounds.ts
@@ -22,8 +22,8 @@
 const MEGABYTE = 1_048_576;
 /** Memory of a process that serves nobody, with what the collector of garbage has not freed. */
 const OWN_BYTES = 76 * MEGABYTE;
-/** Share of the rest that is held for callers. */
-const HELD_SHARE = 0.5;
+/** Share of the rest that is held for callers: a body takes up to twice its size until the collector has freed its pieces. */
+const HELD_SHARE = 0.35;
 const MIN_HELD_BYTES = 8 * MEGABYTE;
 /** A part of the heap of the process. */
 const MAX_HELD_BYTES = 64 * MEGABYTE;
