--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -35,4 +35,6 @@
     readonly freshness: Freshness;
     /** Region of each availability zone. */
     readonly regions: ReadonlyMap<string, string>;
+    /** What the machine allows this process; the bounds on what is held for callers follow from it. */
+    readonly machine: dispatch.MachineLimits;
 }
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -251,6 +251,7 @@
             freshness: { listingPeriodMs: 1_000, configurationWatchMs: 2_000 },
             regions: this.regions,
             retries: this.retries,
+            machine: { memoryBytes: 200 * 1_048_576, descriptors: 4_096 },
         };
     }
 
