Upstreams that warm up: each send is charged at the owner of their limit

Cause: after a start, or at any moment, an upstream bears a few requests a second and crashes beyond them. Change: dispatch/src/warmup.ts merges registration, start, answers, other hosts and returns; runs, prefills, retries and reservations to such an upstream are charged right before the send in the ledger of upstream limits, spaced (a window of 2 s would have granted 22 at once, a second bears 21.5), so that two owners and the hosts without one stay within the bound. Slowness while warming lowers no health; prefills and attempts get their usual time once more. New message warmUp, atOnce in charges.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -21,3 +21,4 @@
 export * from "./stopping.js";
 export * from "./streamsequence.js";
 export * from "./versions.js";
+export * from "./warmup.js";
--- a/packages/dispatch/src/limits.ts
+++ b/packages/dispatch/src/limits.ts
@@ -12,7 +12,7 @@
 const LIMIT_TTL_MS = 30_000;
 
 /** Share of a limit that all hosts together use while its owner does not respond; the owner may still grant the rest. */
-const FALLBACK_SHARE = 0.4;
+export const FALLBACK_SHARE = 0.4;
 
 /** Maximum number of upstreams of which a host keeps its share; the one asked longest ago is evicted first. */
 const MAX_SHARES = 2_000;
@@ -100,6 +100,9 @@
 export class LimitShare {
     private readonly nextGrantAt = new Map<string, decision.Milliseconds>();
 
+    /** `phase` draws from 0 to 1 the part of an interval by which the grants of hosts that ask together are spread. */
+    constructor(private readonly phase: () => number = () => 0) {}
+
     /** Asks for one request to an upstream. The first is granted after a whole interval: others may just have been. */
     charge(
         incarnation: string,
@@ -108,7 +111,8 @@
         now: decision.Milliseconds,
     ): quotas.QuotaDecision {
         const intervalMs = 1_000 * Math.max(1, hostCount) / (perSecond * FALLBACK_SHARE);
-        const nextAt = Math.min(this.nextGrantAt.get(incarnation) ?? Infinity, now + intervalMs);
+        const known = this.nextGrantAt.get(incarnation) ?? now + intervalMs * (1 + this.phase());
+        const nextAt = Math.min(known, now + intervalMs * 2);
         const granted = now >= nextAt;
         newest.setNewest(this.nextGrantAt, incarnation, granted ? now + intervalMs : nextAt, MAX_SHARES);
         return granted ? { granted } : { granted, waitMs: nextAt - now };
--- a/packages/dispatch/src/quota.ts
+++ b/packages/dispatch/src/quota.ts
@@ -7,6 +7,8 @@
     readonly burst: number;
     /** Configuration version that defines the limit. Hosts receive a new version at different times. */
     readonly version: number;
+    /** Units that may be granted at once, while all others are spaced evenly; undefined to bound whole windows only. */
+    readonly atOnce?: number | undefined;
 }
 
 /** The result of charging a request to a workspace. */
@@ -38,6 +40,8 @@
     private readonly buckets: number[];
     private currentBucket: number;
     private chargedUnits: number;
+    /** When all that was granted would have been spaced evenly. */
+    private spacedUntil: decision.Milliseconds;
 
     constructor(
         private limit: QuotaLimit,
@@ -48,11 +52,18 @@
         this.buckets = new Array<number>(BUCKETS_PER_WINDOW).fill(unitsPerBucket);
         this.chargedUnits = unitsPerBucket * BUCKETS_PER_WINDOW;
         this.currentBucket = this.bucketIndexAt(now);
+        this.spacedUntil = now + this.spacingMs(limit.atOnce ?? 0);
     }
 
     charge(limit: QuotaLimit, cost: number, now: decision.Milliseconds): QuotaDecision {
         this.expireBuckets(now);
         this.updateLimit(limit);
+        const spacingWaitMs = limit.atOnce === undefined
+            ? 0
+            : this.spacedUntil - now - this.spacingMs(Math.max(0, limit.atOnce - cost));
+        if (spacingWaitMs > 0) {
+            return { granted: false, waitMs: spacingWaitMs };
+        }
         const capacity = this.limit.ratePerSecond * this.windowMs / 1_000 + this.limit.burst;
         // A request larger than the whole limit is granted if the window is unused; otherwise it could never run.
         const needed = Math.min(cost, capacity);
@@ -60,6 +71,7 @@
             this.buckets[this.currentBucket % BUCKETS_PER_WINDOW] =
                 (this.buckets[this.currentBucket % BUCKETS_PER_WINDOW] as number) + cost;
             this.chargedUnits += cost;
+            this.spacedUntil = Math.max(now, this.spacedUntil) + this.spacingMs(cost);
             return { granted: true, bucket: this.currentBucket };
         }
         return { granted: false, waitMs: this.timeUntilExpired(this.chargedUnits + needed - capacity) };
@@ -75,6 +87,11 @@
         const units = Math.min(cost, this.buckets[index] as number);
         this.buckets[index] = (this.buckets[index] as number) - units;
         this.chargedUnits -= units;
+        this.spacedUntil -= this.spacingMs(units);
+    }
+
+    private spacingMs(units: number): decision.Milliseconds {
+        return units * 1_000 / this.limit.ratePerSecond;
     }
 
     /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import * as agents from "./upstream/agent.js";
 import * as notices from "./upstream/notices.js";
 import * as pools from "./upstream/pool.js";
+import * as warmups from "./warmup.js";
 import type * as wires from "./wire.js";
 
 /** Interval at which a stopping process checks whether requests are in flight. */
@@ -78,7 +79,10 @@
     let current = settings;
     const scope = new lifecycle.Scope("gateway");
     const clock = lifecycle.monotonicClock;
-    const gatewayMetrics = metrics.makeGatewayMetrics((reason) => pool.countExcluded(reason, clock()));
+    const gatewayMetrics = metrics.makeGatewayMetrics(
+        (reason) => pool.countExcluded(reason, clock()),
+        () => pool.count((upstream) => upstreamLimits.warmUps.leftMs(upstream) > 0),
+    );
     const identity = { host: settings.host, availabilityZone: settings.availabilityZone, pid: process.pid };
     const log = logs.makeDecisionLog(identity, clock, () => gatewayMetrics.droppedLogLines.inc());
     const agent = new agents.UpstreamAgent(() => gatewayMetrics.connections.inc());
@@ -90,7 +94,7 @@
     const pool = new pools.UpstreamPool((incarnation) => {
         agent.closeIdle(incarnation);
         upstreamLimits.forget(incarnation);
-    });
+    }, (upstreams) => upstreamLimits.warmUps.recordListing(upstreams));
     const quarantine = new quarantines.Quarantine(clock, log, random);
     const registry = makeRegistry((key, problem) =>
         log.decision("invalid registration in the store", { key, problem })
@@ -129,9 +133,14 @@
         quotaWindowMs: settings.quotaWindowMs,
         onStoreUpdate: storeView.receiveUpdate,
         onUnread: (reason) => gatewayMetrics.unreadMessages.inc({ reason }),
+        random,
         quarantine,
         limits: upstreamLimits,
     });
+    upstreamLimits.warmUps.setSettings({
+        limitsOf: (service) => storeView.activeConfiguration()?.table.serviceByName.get(service)?.warmUp,
+        tolerance: () => current.warmUpTolerance ?? warmups.NO_TOLERANCE,
+    });
     storeView.setPublisher(peerChannel.sendStoreUpdate);
     quarantine.setMessages(peerChannel.quarantine);
     upstreamLimits.setChannel(peerChannel);
@@ -147,7 +156,7 @@
         wireFormat,
         agent,
         pool,
-        notices: new notices.UpstreamNotices({ clock, log, pool, random }),
+        notices: new notices.UpstreamNotices({ clock, limits: upstreamLimits, log, pool, random }),
         storeView,
         peers: peerChannel,
         retryBudget: new dispatch.RetryBudget(() => current.retries),
--- a/packages/gateway/src/limits.ts
+++ b/packages/gateway/src/limits.ts
@@ -4,6 +4,7 @@
 import type * as logs from "./log.js";
 import * as messages from "./messages.js";
 import type * as peers from "./peers.js";
+import * as warmups from "./warmup.js";
 
 /** Whether a request may be sent to an upstream. */
 export type Permit =
@@ -28,20 +29,35 @@
     };
 
 /** How other hosts are told of limits and asked for permits. */
-export type LimitChannel = Pick<peers.Peers, "charge" | "broadcastLimit">;
+export type LimitChannel = Pick<peers.Peers, "charge" | "broadcastLimit" | "broadcastWarmUp">;
 
 const UNLIMITED: Permit = { granted: true, refund: () => undefined };
 
-/** Keeps the limits that upstreams in need name, together with the other hosts. */
+/** How long after it was asked for a permit may be used: one used later falls into another second. */
+const PERMIT_TTL_MS = 200;
+/** Wait after a permit that came too late. */
+const LATE_PERMIT_WAIT_MS = 50;
+
+/** Keeps the limits that upstreams in need name, and those of upstreams that warm up, together with the other hosts. */
 export class UpstreamLimits {
     private readonly limits = new dispatch.NamedLimits();
     private channel: LimitChannel | undefined;
+    /** Which upstreams warm up. */
+    readonly warmUps: warmups.UpstreamWarmUps;
+    /** Until when no send to an upstream that warms up is granted, as far as this host knows, by purpose and incarnation. */
+    private readonly warmUpSpentUntil: Record<dispatch.Turn, Map<string, decision.Milliseconds>> = {
+        [dispatch.Turn.Run]: new Map(),
+        [dispatch.Turn.Reserve]: new Map(),
+    };
 
-    constructor(private readonly clock: decision.Clock, private readonly log: logs.DecisionLog) {}
+    constructor(private readonly clock: decision.Clock, private readonly log: logs.DecisionLog) {
+        this.warmUps = new warmups.UpstreamWarmUps(clock, log);
+    }
 
     /** Sets how other hosts are reached; until then every request is granted. */
     setChannel(channel: LimitChannel): void {
         this.channel = channel;
+        this.warmUps.setChannel(channel.broadcastWarmUp);
     }
 
     /** Records the limit in the answer to a request that was sent at `sentAt`; undefined if there is none. */
@@ -62,11 +78,58 @@
     /** Forgets an upstream that is gone. */
     forget(incarnation: string): void {
         this.limits.forget(incarnation);
+        this.warmUps.forget(incarnation);
+        Object.values(this.warmUpSpentUntil).forEach((spentUntil) => spentUntil.delete(incarnation));
+    }
+
+    /**
+     * Asks for the charge of one send to an upstream that warms up, right before the send; the owner of its limit grants it for
+     * the fleet. Granted at once for all others.
+     */
+    async permitSend(upstream: routing.Upstream, turn = dispatch.Turn.Run): Promise<Permit> {
+        const limit = this.warmUps.limitOf(upstream);
+        if (!limit || !this.channel) {
+            return UNLIMITED;
+        }
+        const incarnation = routing.incarnationOf(upstream);
+        const spentForMs = this.warmUpSpentForMs(upstream, turn);
+        if (spentForMs > 0) {
+            return { granted: false, waitMs: spentForMs };
+        }
+        const askedAt = this.clock();
+        const { quotaDecision, refund } = await this.channel.charge(
+            messages.Ledger.Upstreams,
+            `${incarnation} warm-up`,
+            dispatch.turnLimit(limit, turn),
+            1,
+        );
+        const now = this.clock();
+        const isLate = now - askedAt > PERMIT_TTL_MS;
+        if (quotaDecision.granted && !isLate) {
+            return { granted: true, refund };
+        }
+        const waitMs = quotaDecision.granted ? LATE_PERMIT_WAIT_MS : quotaDecision.waitMs;
+        this.warmUpSpentUntil[turn].set(incarnation, now + waitMs);
+        return { granted: false, waitMs };
+    }
+
+    /** Time until a send to an upstream that warms up may be granted again; 0 if one may be now. */
+    private warmUpSpentForMs(upstream: routing.Upstream, turn: dispatch.Turn): decision.Milliseconds {
+        const spentUntil = this.warmUpSpentUntil[turn].get(routing.incarnationOf(upstream));
+        const spentForMs = Math.max(0, (spentUntil ?? 0) - this.clock());
+        return spentForMs > 0 && this.warmUps.limitOf(upstream) ? spentForMs : 0;
     }
 
-    /** Asks for one request to an upstream, which the owner of its limit grants for the fleet. */
-    async acquire(upstream: routing.Upstream): Promise<Permit> {
+    /**
+     * Asks for one request to an upstream, which the owner of its limit grants for the fleet. Sends to one that warms up are
+     * charged as they are made; here it only counts that it bears none now.
+     */
+    async acquire(upstream: routing.Upstream, turn = dispatch.Turn.Run): Promise<Permit> {
         const incarnation = routing.incarnationOf(upstream);
+        const warmUpSpentForMs = this.warmUpSpentForMs(upstream, turn);
+        if (warmUpSpentForMs > 0) {
+            return { granted: false, waitMs: warmUpSpentForMs };
+        }
         const ratePerSecond = this.limits.limitOf(incarnation, this.clock());
         if (ratePerSecond === undefined || !this.channel) {
             return UNLIMITED;
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -13,6 +13,8 @@
     CrashReports = "crashes",
     /** Tells which limit an upstream has named. */
     Limit = "limit",
+    /** Tells how long an upstream goes on to warm up. */
+    WarmUp = "warmUp",
     /** Tells which fingerprints are barred from upstreams. */
     Barred = "barred",
     /** Tells which fingerprints were in sound runs. */
@@ -43,7 +45,7 @@
         id: amount,
         ledger: ledgerSchema,
         workspace: text,
-        limit: zod.object({ ratePerSecond: amount, burst: amount, version: amount }),
+        limit: zod.object({ ratePerSecond: amount, burst: amount, version: amount, atOnce: amount.optional() }),
         cost: amount,
     }),
     zod.object({
@@ -76,6 +78,7 @@
         incarnation: text,
         perSecond: amount.optional(),
     }),
+    zod.object({ kind: zod.literal(MessageKind.WarmUp), incarnation: text, leftMs: amount }),
     zod.object({ kind: zod.literal(MessageKind.Barred), fingerprints: fingerprintsSchema }),
     zod.object({ kind: zod.literal(MessageKind.Cleared), fingerprints: fingerprintsSchema }),
     zod.object({
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -21,8 +21,14 @@
 /** Buckets of the latency histograms: latency targets are tenths of a second, and deadlines are some seconds. */
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.9, 1.5, 3, 6, 14];
 
-/** Makes the metrics; `countExcluded` counts the upstreams to which this host sends nothing for a reason. */
-export function makeGatewayMetrics(countExcluded: (reason: dispatch.Exclusion) => number): GatewayMetrics {
+/**
+ * Makes the metrics; `countExcluded` counts the upstreams to which this host sends nothing for a reason, `countWarmingUp`
+ * those that warm up.
+ */
+export function makeGatewayMetrics(
+    countExcluded: (reason: dispatch.Exclusion) => number,
+    countWarmingUp: () => number = () => 0,
+): GatewayMetrics {
     const registry = new promClient.Registry();
     const registers = [registry];
     const counter = <Label extends string>(name: string, help: string, labelNames: readonly Label[]) =>
@@ -43,6 +49,12 @@
         collect: () =>
             Object.values(dispatch.Exclusion).forEach((reason) => excluded.set({ reason }, countExcluded(reason))),
     });
+    const warmingUp: promClient.Gauge = new promClient.Gauge({
+        name: "citronlead_gateway_warming_upstreams",
+        help: "Upstreams that warm up, and get what they bear meanwhile.",
+        registers,
+        collect: () => warmingUp.set(countWarmingUp()),
+    });
     return {
         registry,
         requests: counter("citronlead_gateway_requests_total", "Requests by outcome.", ["service", "outcome"]),
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -19,6 +19,8 @@
 const MAX_ROUNDS = 3;
 /** Mean Retry-After when no engine is available: crashed engines restart within seconds. */
 const NO_ENGINE_RETRY_AFTER_MS = 1_500;
+/** How long a decode waits for its turn at an engine that warms up, which holds its memory meanwhile. */
+const DECODE_TURN_WAIT_MS = 600;
 /** Lowest status with which an engine reports a failure of its own. */
 const MIN_FAILURE_STATUS = 500;
 
@@ -171,6 +173,7 @@
         const sent = await sends.sendRequest(exchange, reservation.candidate, {
             call: "decode",
             headersTimeoutMs: silence.canTakeOver() ? silence.takeoverMs : silence.abandonedMs,
+            turnWaitMs: DECODE_TURN_WAIT_MS,
             prefillSource: prefill?.source,
             reservation: reservation.id,
             resumeAfterEventId: progress.sequence.lastEventId ?? exchange.metadata.lastEventId,
--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -85,11 +85,12 @@
     ): Promise<PrefillResult | undefined> {
         const { context, metadata } = exchange;
         const startedAt = context.clock();
+        const warmUpLeftMs = context.limits.warmUps.leftMs(candidate.upstream);
         candidate.health.inFlight++;
         try {
             const sent = await sends.sendRequest(exchange, candidate, {
                 call: "prefill",
-                headersTimeoutMs: this.timeoutMs(exchange),
+                headersTimeoutMs: dispatch.warmUpPatienceMs(this.timeoutMs(exchange), warmUpLeftMs),
                 prefillOnly: true,
             });
             if (sent.kind !== sends.SendKind.Response) {
@@ -105,11 +106,14 @@
                 candidate.health.record(dispatch.SendResult.Failed, context.clock());
                 return undefined;
             }
-            this.observeSpeed(
-                exchange.service,
-                candidate,
-                (context.clock() - startedAt) / Math.max(1, metadata.promptTokens),
-            );
+            // A slow start is no failure, and says nothing of the others' speed.
+            if (warmUpLeftMs === 0) {
+                this.observeSpeed(
+                    exchange.service,
+                    candidate,
+                    (context.clock() - startedAt) / Math.max(1, metadata.promptTokens),
+                );
+            }
             const source = context.wireFormat.prefillSource(candidate.upstream.address, handle);
             return { candidate, handle, source };
         }
--- a/packages/gateway/src/model/silence.ts
+++ b/packages/gateway/src/model/silence.ts
@@ -22,20 +22,25 @@
         { upstream, health }: dispatch.Candidate,
         runs: number,
     ): relays.SilenceLimits {
-        const { clock, log, reachability } = this.context;
+        const { clock, limits, log, reachability } = this.context;
         const times = dispatch.silenceTimes(exchange.route);
         return {
             ...times,
             canTakeOver: () => this.canTakeOver(exchange, progress, upstream, runs),
             onSuspected: () => {
-                health.record(dispatch.SendResult.Unreachable, clock());
-                reachability.recordSilence(upstream);
+                const warmUpLeftMs = limits.warmUps.leftMs(upstream);
+                // A slow start is no failure.
+                if (warmUpLeftMs === 0) {
+                    health.record(dispatch.SendResult.Unreachable, clock());
+                    reachability.recordSilence(upstream);
+                }
                 log.decision("upstream silent", {
                     requestId: exchange.metadata.requestId,
                     upstream: upstream.id,
                     service: exchange.service,
                     silentMs: Math.round(times.suspectedMs),
                     passedEvents: exchange.relayedEvents,
+                    warmUpLeftMs: warmUpLeftMs > 0 ? Math.round(warmUpLeftMs) : undefined,
                 });
             },
         };
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -45,6 +45,8 @@
     readonly quarantine: quarantines.QuarantineMessages;
     /** Tells all hosts the limit that an upstream has named; undefined if it names none any more. */
     readonly broadcastLimit: (incarnation: string, perSecond: number | undefined) => void;
+    /** Tells all hosts how long an upstream goes on to warm up, by an answer that this host has read. */
+    readonly broadcastWarmUp: (incarnation: string, leftMs: decision.Milliseconds) => void;
     /** Sends what this host read in the store to the given hosts. */
     readonly sendStoreUpdate: (update: routing.StoreUpdate, hosts: readonly string[]) => void;
 }
@@ -57,6 +59,8 @@
     readonly hosts: () => readonly string[];
     readonly quotaTolerance: () => number;
     readonly quotaWindowMs: decision.Milliseconds;
+    /** Draws a number in [0, 1). */
+    readonly random?: () => number;
     readonly quarantine: quarantines.Quarantine;
     readonly limits: limits.UpstreamLimits;
     readonly onStoreUpdate: (update: routing.StoreUpdate) => void;
@@ -74,7 +78,7 @@
         [messages.Ledger.Upstreams]: new dispatch.QuotaLimiter(dispatch.LIMIT_WINDOW_MS),
     };
     const fallbackQuotas = new dispatch.QuotaLimiter(options.quotaWindowMs);
-    const limitShare = new dispatch.LimitShare();
+    const limitShare = new dispatch.LimitShare(options.random);
     /** Callbacks of the charges in flight, by message id. */
     const pendingCharges = new Map<number, (quotaDecision: dispatch.QuotaDecision) => void>();
     const backoffUntilByOwner = new Map<string, decision.Milliseconds>();
@@ -128,6 +132,9 @@
             case messages.MessageKind.Limit:
                 options.limits.receive(message.incarnation, message.perSecond);
                 return;
+            case messages.MessageKind.WarmUp:
+                options.limits.warmUps.receive(message.incarnation, message.leftMs);
+                return;
             case messages.MessageKind.Barred:
                 options.quarantine.receiveBarred(message.fingerprints, from.address);
                 return;
@@ -238,6 +245,12 @@
                 incarnation,
                 ...(perSecond === undefined ? {} : { perSecond }),
             })),
+        broadcastWarmUp: (incarnation, leftMs) =>
+            broadcast((delayMs) => ({
+                kind: messages.MessageKind.WarmUp,
+                incarnation,
+                leftMs: Math.max(0, leftMs - delayMs),
+            })),
         sendStoreUpdate: (update, hosts) =>
             hosts.forEach((host) => send({ kind: messages.MessageKind.StoreUpdate, news: update }, host)),
         quarantine: {
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -63,7 +63,7 @@
             exchange,
             candidate,
             runs,
-            isLastAttempt ? exchange.remainingMs : attemptTimeoutMs(exchange),
+            isLastAttempt ? exchange.remainingMs : attemptTimeoutMs(exchange, candidate.upstream),
         );
         if (effect === undefined || exchange.isOver) {
             return;
@@ -103,8 +103,9 @@
     return true;
 }
 
-function attemptTimeoutMs(exchange: exchanges.Exchange): decision.Milliseconds {
-    const waitMs = exchange.route.latencyTargetMs * ATTEMPT_TIMEOUT_SHARE;
+function attemptTimeoutMs(exchange: exchanges.Exchange, upstream: routing.Upstream): decision.Milliseconds {
+    const usualMs = exchange.route.latencyTargetMs * ATTEMPT_TIMEOUT_SHARE;
+    const waitMs = dispatch.warmUpPatienceMs(usualMs, exchange.context.limits.warmUps.leftMs(upstream));
     return Math.min(waitMs, exchange.remainingMs / 2);
 }
 
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -1,5 +1,6 @@
 import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
+import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import type * as http from "node:http";
 import type * as contexts from "./context.js";
@@ -18,6 +19,8 @@
     readonly prefillSource?: string;
     readonly reservation?: string;
     readonly resumeAfterEventId?: string;
+    /** How long the send may wait for its turn at an upstream that warms up. */
+    readonly turnWaitMs?: decision.Milliseconds;
 }
 
 /** How a send ended, up to the headers of the response. */
@@ -68,6 +71,11 @@
         exchange.recordCall(options.call, upstream, `not sent: ${exclusion}`, startedAt);
         return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason: exclusion };
     }
+    const refusal = await refuseWarmUpTurn(exchange, upstream, options.turnWaitMs ?? 0);
+    if (refusal !== undefined) {
+        exchange.recordCall(options.call, upstream, `not sent: ${refusal}`, startedAt);
+        return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason: refusal };
+    }
     exchange.beginCall(options.call, upstream);
     const forwarding: wires.ForwardingMetadata = {
         expectedUpstream: upstream.id,
@@ -117,6 +125,36 @@
     return sent;
 }
 
+/** Waits for a send's turn at an upstream that warms up. Returns why nothing is sent, undefined if it is the request's turn. */
+async function refuseWarmUpTurn(
+    exchange: exchanges.Exchange,
+    upstream: routing.Upstream,
+    waitMs: decision.Milliseconds,
+): Promise<string | undefined> {
+    const { clock, limits, pool, scope } = exchange.context;
+    if (!limits.warmUps.limitOf(upstream)) {
+        return undefined;
+    }
+    const endsAt = clock() + Math.min(waitMs, exchange.remainingMs);
+    for (;;) {
+        const permit = await limits.permitSend(upstream);
+        const exclusion = pool.exclusionOf(upstream, clock());
+        if (exclusion !== undefined || exchange.isOver) {
+            if (permit.granted) {
+                permit.refund();
+            }
+            return exclusion ?? "the request is over";
+        }
+        if (permit.granted) {
+            return undefined;
+        }
+        if (clock() + permit.waitMs > endsAt) {
+            return "warms up";
+        }
+        await lifecycle.pause(scope, permit.waitMs);
+    }
+}
+
 async function classifyOutcome(
     exchange: exchanges.Exchange,
     upstream: routing.Upstream,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -31,6 +31,8 @@
     readonly quotaTolerance: number;
     /** Window over which a workspace's rate and burst are enforced. */
     readonly quotaWindowMs: decision.Milliseconds;
+    /** By how much a second may exceed the rate of upstreams that warm up. */
+    readonly warmUpTolerance?: dispatch.WarmUpTolerance | undefined;
     readonly retries: dispatch.RetryLimits;
     readonly freshness: Freshness;
 }
--- a/packages/gateway/src/upstream/notices.ts
+++ b/packages/gateway/src/upstream/notices.ts
@@ -21,7 +21,9 @@
 export class UpstreamNotices {
     private readonly reported = new Set<string>();
 
-    constructor(private readonly context: Pick<contexts.GatewayContext, "clock" | "log" | "pool" | "random">) {}
+    constructor(
+        private readonly context: Pick<contexts.GatewayContext, "clock" | "limits" | "log" | "pool" | "random">,
+    ) {}
 
     /** Takes in a response of an upstream. One of another upstream at its address says nothing of this one. */
     observe(
@@ -37,6 +39,7 @@
             this.log(upstream, dispatch.Exclusion.Replaced, source);
             return;
         }
+        this.context.limits.warmUps.observe(upstream, metadata.warmUpLeftMs);
         metadata.unreadableNotices.forEach((notice) => this.reportUnreadable(upstream, notice, source));
         if (metadata.leaving && gate.recordLeaving()) {
             this.log(upstream, dispatch.Exclusion.Leaving, source);
--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -9,7 +9,10 @@
     private directory: routing.Directory = routing.emptyDirectory;
     private onUpdate: () => void = () => undefined;
 
-    constructor(private readonly onIncarnationGone: (incarnation: string) => void) {}
+    constructor(
+        private readonly onIncarnationGone: (incarnation: string) => void,
+        private readonly onListed: (upstreams: readonly routing.Upstream[]) => void = () => undefined,
+    ) {}
 
     /** Sets what is called after each listing. */
     setUpdateListener(listener: () => void): void {
@@ -33,6 +36,7 @@
         const former = this.directory;
         this.directory = directory;
         const listed = new Set<string>();
+        this.onListed([...directory.entries.values()].map(({ upstream }) => upstream));
         for (const { upstream } of directory.entries.values()) {
             const incarnation = routing.incarnationOf(upstream);
             listed.add(incarnation);
@@ -106,8 +110,12 @@
 
     /** Number of listed upstreams that are excluded for the reason. */
     countExcluded(reason: dispatch.Exclusion, now: decision.Milliseconds): number {
-        return [...this.directory.entries.values()]
-            .filter(({ upstream }) => this.exclusionOf(upstream, now) === reason).length;
+        return this.count((upstream) => this.exclusionOf(upstream, now) === reason);
+    }
+
+    /** Number of listed upstreams of which something holds. */
+    count(holds: (upstream: routing.Upstream) => boolean): number {
+        return [...this.directory.entries.values()].filter(({ upstream }) => holds(upstream)).length;
     }
 
     /** The listed upstream of an incarnation. */
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -45,6 +45,8 @@
     readonly notRun: boolean;
     /** Requests per second that the upstream takes from all hosts together while it says so. */
     readonly limitPerSecond: number | undefined;
+    /** How long the upstream goes on to warm up; undefined if the response does not say. */
+    readonly warmUpLeftMs?: decision.Milliseconds | undefined;
     /** Whether the upstream says that it leaves. */
     readonly leaving: boolean;
     /** Time in which the upstream wants nothing from this host, if it turns a request away; undefined if it names none. */
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -58,6 +58,7 @@
         signed: headers["signature"] !== undefined,
         notRun: headers["not-run"] !== undefined,
         limitPerSecond: numeric(headers["limit"]),
+        warmUpLeftMs: numeric(headers["warm-up-left"]),
         leaving: headers["leaving"] === "1",
         retryAfterMs: headers["retry-after"] === undefined ? undefined : 1_000 * Number(headers["retry-after"]),
         unreadableNotices: [],
@@ -236,6 +237,7 @@
             stopPeriodMs: 3_000,
             quotaTolerance: 0,
             quotaWindowMs: 8_000,
+            warmUpTolerance: { factor: 1.5, slack: 5 },
             freshness: { listingPeriodMs: 1_000, configurationWatchMs: 2_000 },
             retries: this.retries,
         };
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -58,6 +58,13 @@
     readonly prefillTtlMs: decision.Milliseconds;
 }
 
+/** How the upstreams of a service warm up after a start. */
+export interface WarmUpLimits {
+    readonly durationMs: decision.Milliseconds;
+    /** Requests per second that an upstream bears from all hosts together while it warms up. */
+    readonly requestsPerSecond: number;
+}
+
 /** A service and how its upstreams are reached. */
 export interface Service {
     readonly name: string;
@@ -67,6 +74,8 @@
     readonly healthPath: string | undefined;
     /** Undefined for a plain service. */
     readonly engine: EngineLimits | undefined;
+    /** Undefined if its upstreams bear their usual rate at once. */
+    readonly warmUp?: WarmUpLimits | undefined;
 }
 
 /** Unit of a workspace's rate and burst. */
