--- a/packages/dispatch/src/warmup.ts
+++ b/packages/dispatch/src/warmup.ts
@@ -25,7 +25,7 @@
 }
 
 /** What a send to an upstream that warms up is for. */
-export enum Turn {
+export enum WarmUpSend {
     /** The send is all that the request needs of the upstream. */
     Run = "run",
     /** A run follows the send, and must not wait behind what others begin meanwhile. */
@@ -57,8 +57,8 @@
 }
 
 /** The limit that applies to one send: a reservation is granted only where its run would be granted at once, too. */
-export function turnLimit({ ratePerSecond, atOnce }: WarmUpLimit, turn: Turn): quotas.QuotaLimit {
-    const kept = turn === Turn.Reserve ? 1 : 0;
+export function warmUpSendLimit({ ratePerSecond, atOnce }: WarmUpLimit, send: WarmUpSend): quotas.QuotaLimit {
+    const kept = send === WarmUpSend.Reserve ? 1 : 0;
     return { ratePerSecond, burst: atOnce, version: 0, atOnce: atOnce - kept };
 }
 
--- a/packages/dispatch/test/warmup.test.ts
+++ b/packages/dispatch/test/warmup.test.ts
@@ -98,7 +98,7 @@
         for (let now = 0; now < 6_000; now += 5) {
             // Nothing is asked for in the third and fourth second; what is left over does not add up.
             const asks = now < 2_000 || now >= 4_000;
-            if (asks && owner.charge("a@1", dispatch.turnLimit(limit, dispatch.Turn.Run), 1, now).granted) {
+            if (asks && owner.charge("a@1", dispatch.warmUpSendLimit(limit, dispatch.WarmUpSend.Run), 1, now).granted) {
                 grantedAt.push(now);
             }
         }
@@ -111,13 +111,13 @@
     it("grants a reservation only where its run is granted at once", () => {
         const limit = dispatch.warmUpLimit(2, { factor: 1, slack: 0 });
         const owner = new dispatch.QuotaLimiter(dispatch.LIMIT_WINDOW_MS);
-        const charge = (turn: dispatch.Turn, now: number) =>
-            owner.charge("a@1", dispatch.turnLimit(limit, turn), 1, now).granted;
+        const charge = (turn: dispatch.WarmUpSend, now: number) =>
+            owner.charge("a@1", dispatch.warmUpSendLimit(limit, turn), 1, now).granted;
         let pairs = 0;
         for (let now = 0; now < 20_000; now += 10) {
-            if (charge(dispatch.Turn.Reserve, now)) {
-                chai.expect(charge(dispatch.Turn.Reserve, now + 1), "another reservation").to.equal(false);
-                chai.expect(charge(dispatch.Turn.Run, now + 2), "the run").to.equal(true);
+            if (charge(dispatch.WarmUpSend.Reserve, now)) {
+                chai.expect(charge(dispatch.WarmUpSend.Reserve, now + 1), "another reservation").to.equal(false);
+                chai.expect(charge(dispatch.WarmUpSend.Run, now + 2), "the run").to.equal(true);
                 pairs++;
             }
         }
@@ -129,7 +129,7 @@
             const random = decision.seeded(seed);
             const perSecond = random.pick([3, 11, 40]);
             const hostCount = random.pick([6, 77, 380]);
-            const limit = dispatch.turnLimit(dispatch.warmUpLimit(perSecond, TOLERANCE), dispatch.Turn.Run);
+            const limit = dispatch.warmUpSendLimit(dispatch.warmUpLimit(perSecond, TOLERANCE), dispatch.WarmUpSend.Run);
             const owners = [0, 1].map(() => new dispatch.QuotaLimiter(dispatch.LIMIT_WINDOW_MS));
             const shares = Array.from({ length: hostCount }, () => new dispatch.LimitShare(() => random.fraction()));
             const engines = ["a@2", "b@2", "c@2"];
--- a/packages/gateway/src/limits.ts
+++ b/packages/gateway/src/limits.ts
@@ -45,9 +45,9 @@
     /** Which upstreams warm up. */
     readonly warmUps: warmups.UpstreamWarmUps;
     /** Until when no send to an upstream that warms up is granted, as far as this host knows, by purpose and incarnation. */
-    private readonly warmUpSpentUntil: Record<dispatch.Turn, Map<string, decision.Milliseconds>> = {
-        [dispatch.Turn.Run]: new Map(),
-        [dispatch.Turn.Reserve]: new Map(),
+    private readonly warmUpSpentUntil: Record<dispatch.WarmUpSend, Map<string, decision.Milliseconds>> = {
+        [dispatch.WarmUpSend.Run]: new Map(),
+        [dispatch.WarmUpSend.Reserve]: new Map(),
     };
 
     constructor(private readonly clock: decision.Clock, private readonly log: logs.DecisionLog) {
@@ -86,13 +86,13 @@
      * Asks for the charge of one send to an upstream that warms up, right before the send; the owner of its limit grants it for
      * the fleet. Granted at once for all others.
      */
-    async permitSend(upstream: routing.Upstream, turn = dispatch.Turn.Run): Promise<Permit> {
+    async permitSend(upstream: routing.Upstream, send = dispatch.WarmUpSend.Run): Promise<Permit> {
         const limit = this.warmUps.limitOf(upstream);
         if (!limit || !this.channel) {
             return UNLIMITED;
         }
         const incarnation = routing.incarnationOf(upstream);
-        const spentForMs = this.warmUpSpentForMs(upstream, turn);
+        const spentForMs = this.warmUpSpentForMs(upstream, send);
         if (spentForMs > 0) {
             return { granted: false, waitMs: spentForMs };
         }
@@ -100,7 +100,7 @@
         const { quotaDecision, refund } = await this.channel.charge(
             messages.Ledger.Upstreams,
             `${incarnation} warm-up`,
-            dispatch.turnLimit(limit, turn),
+            dispatch.warmUpSendLimit(limit, send),
             1,
         );
         const now = this.clock();
@@ -109,13 +109,13 @@
             return { granted: true, refund };
         }
         const waitMs = quotaDecision.granted ? LATE_PERMIT_WAIT_MS : quotaDecision.waitMs;
-        this.warmUpSpentUntil[turn].set(incarnation, now + waitMs);
+        this.warmUpSpentUntil[send].set(incarnation, now + waitMs);
         return { granted: false, waitMs };
     }
 
     /** Time until a send to an upstream that warms up may be granted again; 0 if one may be now. */
-    private warmUpSpentForMs(upstream: routing.Upstream, turn: dispatch.Turn): decision.Milliseconds {
-        const spentUntil = this.warmUpSpentUntil[turn].get(routing.incarnationOf(upstream));
+    private warmUpSpentForMs(upstream: routing.Upstream, send: dispatch.WarmUpSend): decision.Milliseconds {
+        const spentUntil = this.warmUpSpentUntil[send].get(routing.incarnationOf(upstream));
         const spentForMs = Math.max(0, (spentUntil ?? 0) - this.clock());
         return spentForMs > 0 && this.warmUps.limitOf(upstream) ? spentForMs : 0;
     }
@@ -124,9 +124,9 @@
      * Asks for one request to an upstream, which the owner of its limit grants for the fleet. Sends to one that warms up are
      * charged as they are made; here it only counts that it bears none now.
      */
-    async acquire(upstream: routing.Upstream, turn = dispatch.Turn.Run): Promise<Permit> {
+    async acquire(upstream: routing.Upstream, send = dispatch.WarmUpSend.Run): Promise<Permit> {
         const incarnation = routing.incarnationOf(upstream);
-        const warmUpSpentForMs = this.warmUpSpentForMs(upstream, turn);
+        const warmUpSpentForMs = this.warmUpSpentForMs(upstream, send);
         if (warmUpSpentForMs > 0) {
             return { granted: false, waitMs: warmUpSpentForMs };
         }
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -140,7 +140,7 @@
         if (exchange.isOver) {
             return ReservationFailure.GivenUp;
         }
-        const permit = await context.limits.acquire(candidate.upstream, dispatch.Turn.Reserve);
+        const permit = await context.limits.acquire(candidate.upstream, dispatch.WarmUpSend.Reserve);
         if (!permit.granted) {
             continue;
         }
@@ -187,7 +187,7 @@
     if (context.pool.exclusionOf(candidate.upstream, startedAt) !== undefined) {
         return undefined;
     }
-    if (!(await context.limits.permitSend(candidate.upstream, dispatch.Turn.Reserve)).granted) {
+    if (!(await context.limits.permitSend(candidate.upstream, dispatch.WarmUpSend.Reserve)).granted) {
         return undefined;
     }
     const outcome = await sends.callEngine(context, candidate, call, {
