--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -15,6 +15,7 @@
     constructor(
         private readonly onIncarnationGone: (incarnation: string) => void,
         private readonly beliefOf: dispatch.ObservedUpstreams["beliefOf"] = () => dispatch.Belief.Sound,
+        private readonly onListed: (upstreams: readonly routing.Upstream[]) => void = () => undefined,
     ) {}
 
     /** Sets what is called after each listing. */
@@ -55,6 +56,7 @@
         const former = this.directory;
         this.directory = directory;
         const listed = new Map<string, routing.Upstream>();
+        this.onListed([...directory.entries.values()].map(({ upstream }) => upstream));
         for (const { upstream } of directory.entries.values()) {
             const incarnation = routing.incarnationOf(upstream);
             listed.set(incarnation, upstream);
@@ -138,8 +140,12 @@
 
     /** Number of listed upstreams that are excluded for the reason. */
     countExcluded(reason: dispatch.Exclusion, now: decision.Milliseconds): number {
-        return [...this.directory.entries.values()]
-            .filter(({ upstream }) => this.exclusionOf(upstream, now) === reason).length;
+        return this.count((upstream) => this.exclusionOf(upstream, now) === reason);
+    }
+
+    /** Number of listed upstreams of which something holds. */
+    count(holds: (upstream: routing.Upstream) => boolean): number {
+        return [...this.directory.entries.values()].filter(({ upstream }) => holds(upstream)).length;
     }
 
     /** The listed upstream of an incarnation. */
