Turns: urgency by the workspace's priority, then the route's; who lost its room goes first

Cause: all workspaces of a deployment may have the same priority, which went before that of the routes, so that all requests were equally urgent; requests whose engine crashed were refused like new ones; forecasts ended after 64 waiters, of which promises are some. Change: routes decide where the priorities of the workspaces are equal; hadRoom; 256 forecasts; a load of more urgent requests is taken to last up to a bound of 0.9.

--- a/packages/dispatch/src/returns.ts
+++ b/packages/dispatch/src/returns.ts
@@ -41,7 +41,7 @@
 /** Share of the room that comes which is promised; the rest serves requests that can be on time. */
 const PROMISED_SHARE = 0.1;
 /** The same for large requests. */
-const LARGE_PROMISED_SHARE = 0.2;
+const LARGE_PROMISED_SHARE = 0.15;
 /** Multiple of the mean amount of its urgency from which a request is large. */
 const LARGE_FACTOR = 1.6;
 /** How much earlier or later than told a caller may return: the network, and its own connection. */
--- a/packages/dispatch/src/turn.ts
+++ b/packages/dispatch/src/turn.ts
@@ -16,6 +16,8 @@
     readonly workspace: string;
     /** Entitlement of the workspace, relative to that of others. */
     readonly workspaceWeight: number;
+    /** Whether it had room before and lost it, such as by the crash of an engine; it comes before new requests. */
+    readonly hadRoom: boolean;
     /** Hash that is the same when a refused caller returns. */
     readonly content: string;
 }
--- a/packages/dispatch/src/turns.ts
+++ b/packages/dispatch/src/turns.ts
@@ -24,10 +24,12 @@
 
 /** How long after a refusal of others a workspace beyond its share gets nothing. */
 const SHORTAGE_MS = 300;
+/** Largest load of requests that come before a waiter which its forecast assumes to last. */
+const MAX_LOAD = 0.9;
 /** By how much a forecast may exceed the time that a waiter has before it is refused: runs end early or late. */
 const FORECAST_SLACK_MS = 100;
 /** Number of waiters whose start is forecast; the room of those behind them is not in sight. */
-const MAX_FORECAST = 64;
+const MAX_FORECAST = 256;
 /** Maximum number of decisions that are kept for messages that were lost. */
 const MAX_DECIDED = 2_000;
 
@@ -103,7 +105,6 @@
     ask(request: turns.TurnRequest, now: decision.Milliseconds): turns.Turn | undefined {
         if (this.idleMs(now) > this.options.renewalMs) {
             this.activeSince = now;
-            this.room.clear();
         }
         this.activeAt = now;
         const known = this.waiters.get(request.id);
@@ -119,8 +120,10 @@
         const { urgency, workspace, workspaceWeight, amount } = request;
         const returned = this.returns.take(request.content, now);
         const waiter: Waiter = {
-            request: returned?.promised === false ? { ...request, targetAt: returned.targetAt } : request,
-            promised: returned?.promised ?? false,
+            request: returned?.promised === false && !request.hadRoom
+                ? { ...request, targetAt: returned.targetAt }
+                : request,
+            promised: request.hadRoom || (returned?.promised ?? false),
             isLargePromised: returned?.promised === true && returned.isLarge,
             askedAt: now,
             renewedAt: now,
@@ -262,11 +265,8 @@
         }
         const demandPerMs = this.demandBefore(late ? Infinity : urgency, now);
         const drainPerMs = this.room.drainPerMs(demands.RATE_PERIOD_MS, now);
-        return demandPerMs === 0 || drainPerMs === 0
-            ? start.at - now
-            : demandPerMs >= drainPerMs
-            ? Infinity
-            : (start.at - now) / (1 - demandPerMs / drainPerMs);
+        const load = drainPerMs > 0 ? Math.min(MAX_LOAD, demandPerMs / drainPerMs) : 0;
+        return (start.at - now) / (1 - load);
     }
 
     /** How long a waiter can still wait. */
--- a/packages/dispatch/test/turns.test.ts
+++ b/packages/dispatch/test/turns.test.ts
@@ -121,6 +121,7 @@
         deadlineAt: 14_000,
         workspace: "north",
         workspaceWeight: 1,
+        hadRoom: false,
         content: id,
         amount: 1,
         durationMs: 400,
@@ -162,6 +163,17 @@
         chai.expect(order.decide(20)).to.deep.equal([]);
     });
 
+    it("serves a request that has lost its room before new ones of its urgency, even past its target", () => {
+        const order = makeOrder();
+        order.room.setPlaces([place("one", 2)]);
+        ["run", "run-2"].forEach((id) => order.room.take({ id, place: "one", amount: 1, endsAt: 300 }));
+        order.ask(request("new"), 0);
+        order.ask(request("lost", { hadRoom: true, targetAt: 0 }), 0);
+        order.decide(0);
+        order.room.release("run");
+        chai.expect(kinds(order.decide(100))).to.deep.equal([["lost", "try"]]);
+    });
+
     it("gives a request whose place was full or out of reach another turn, elsewhere", () => {
         for (const problem of Object.values(dispatch.TurnProblem)) {
             const order = makeOrder();
--- a/packages/dispatch/test/turnsload.ts
+++ b/packages/dispatch/test/turnsload.ts
@@ -108,6 +108,7 @@
             deadlineAt: caller.arrivedAt + DEADLINE_MS,
             workspace: caller.workspace,
             workspaceWeight: 1,
+            hadRoom: false,
             content: caller.content,
             amount: caller.amount,
             durationMs: RUN_MS,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -52,6 +52,9 @@
 /** Margin before the caller's deadline, for the network delay to the caller and a timer that fires late. */
 const RESPONSE_MARGIN_MS = 25;
 
+/** Number of priorities that a route can have. */
+const PRIORITY_LEVELS = 10;
+
 /** Time by which callers are spread that come back once an upstream takes requests again. */
 const RETURN_SPREAD_MS = 400;
 /** Retry-After for a request that crashes upstreams. */
@@ -139,6 +142,11 @@
         return this.workspace?.priority ?? this.route.priority;
     }
 
+    /** Urgency among the requests of a service, smaller first: by priority, and by the route's where that is equal. */
+    get urgency(): number {
+        return this.priority * PRIORITY_LEVELS + Math.min(this.route.priority, PRIORITY_LEVELS - 1);
+    }
+
     /** What the request's metadata say about its output length. */
     get outputBounds(): dispatch.OutputBounds {
         const { maxOutputTokens, estimatedOutputTokens } = this.metadata;
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -59,6 +59,7 @@
         deadlineInMs: amount,
         workspace: text,
         workspaceWeight: amount,
+        hadRoom: zod.boolean(),
         content: text,
         amount,
         durationMs: amount,
--- a/packages/gateway/src/model/queue.ts
+++ b/packages/gateway/src/model/queue.ts
@@ -60,7 +60,7 @@
             id,
             targetAt: exchange.latencyTargetAt,
             deadlineAt: exchange.deadlineAt,
-            priority: exchange.priority,
+            priority: exchange.urgency,
         });
         return added ? id : undefined;
     }
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -97,11 +97,12 @@
     return {
         service: exchange.service,
         route: exchange.route.name,
-        urgency: exchange.priority,
+        urgency: exchange.urgency,
         targetAt: exchange.latencyTargetAt,
         deadlineAt: exchange.deadlineAt,
         workspace: workspace?.name ?? "",
         workspaceWeight: workspace && workspace.ratePerSecond > 0 ? workspace.ratePerSecond : 1,
+        hadRoom: exchange.arrivals > 0 || exchange.hasPrefill,
         content: exchange.fingerprints.content,
         amount: exchange.reservedTokens,
     };
--- a/packages/gateway/src/model/turnwait.ts
+++ b/packages/gateway/src/model/turnwait.ts
@@ -23,11 +23,11 @@
     let tries = 0;
     const end = <Result>(outcome: string, result: Result, more: object = {}) => {
         const waitedMs = clock() - startedAt;
-        metrics.turnWaiting.observe({ service, urgency: exchange.priority, outcome }, waitedMs / decision.SECOND_MS);
+        metrics.turnWaiting.observe({ service, urgency: exchange.urgency, outcome }, waitedMs / decision.SECOND_MS);
         log.decision("turn ended", {
             requestId: exchange.metadata.requestId,
             service,
-            urgency: exchange.priority,
+            urgency: exchange.urgency,
             reservedTokens: exchange.reservedTokens,
             decidedBy: seeker.owner,
             outcome,
--- a/packages/gateway/src/turnowner.ts
+++ b/packages/gateway/src/turnowner.ts
@@ -52,6 +52,10 @@
         const now = this.context.clock();
         const { service, id, targetInMs, deadlineInMs, avoided, ...request } = message;
         const owned = this.serviceOf(service);
+        if (owned.order.idleMs(now) > RENEWAL_MS) {
+            // Hosts may have stopped reporting; they report all runs once they are told that requests wait.
+            owned.order.room.clear();
+        }
         const decided = owned.order.ask({
             ...request,
             id,
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -35,6 +35,7 @@
     readonly deadlineAt: decision.Milliseconds;
     readonly workspace: string;
     readonly workspaceWeight: number;
+    readonly hadRoom: boolean;
     readonly content: string;
     readonly amount: number;
 }
