--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -56,6 +56,9 @@
 /** Timers of whole milliseconds fire up to this early. */
 const TIMER_RESOLUTION_MS = 1;
 
+/** Number of priorities that a route can have. */
+const PRIORITY_LEVELS = 10;
+
 /** Retry-After for a request that crashes upstreams. */
 const BARRED_RETRY_AFTER_MS = 60_000;
 
@@ -144,6 +147,11 @@
         return this.workspace?.priority ?? this.route.priority;
     }
 
+    /** Urgency among the requests of a service, smaller first: by priority, and by the route's where that is equal. */
+    get urgency(): number {
+        return this.priority * PRIORITY_LEVELS + Math.min(this.route.priority, PRIORITY_LEVELS - 1);
+    }
+
     /** What the request's metadata say about its output length. */
     get outputBounds(): dispatch.OutputBounds {
         const { maxOutputTokens, estimatedOutputTokens } = this.metadata;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import type * as settings from "./settings.js";
 import * as stops from "./stop.js";
 import * as views from "./store/view.js";
+import * as turns from "./turns.js";
 import * as agents from "./upstream/agent.js";
 import * as notices from "./upstream/notices.js";
 import * as pools from "./upstream/pool.js";
@@ -139,6 +140,11 @@
         freshness: () => current.freshness,
         random,
     });
+    const hostTurns = new turns.HostTurns(
+        { scope, clock, random, log, metrics: gatewayMetrics, pool, storeView },
+        self,
+        settings.availabilityZone,
+    );
     const peerChannel = await peers.openPeers({
         scope,
         clock,
@@ -155,12 +161,14 @@
         random,
         quarantine,
         limits: upstreamLimits,
+        onTurnMessage: (message, from) => hostTurns.receive(message, from),
     });
     upstreamLimits.warmUps.setSettings({
         limitsOf: (service) => storeView.activeConfiguration()?.table.serviceByName.get(service)?.warmUp,
         tolerance: () => current.warmUpTolerance ?? warmups.NO_TOLERANCE,
     });
     storeView.setPublisher(peerChannel.sendStoreUpdate, peerChannel.askEvacuations);
+    hostTurns.setChannel(peerChannel.sendTurnMessage);
     quarantine.setMessages(peerChannel.quarantine);
     upstreamLimits.setChannel(peerChannel);
     const durationForecast = new dispatch.DurationForecast();
@@ -202,6 +210,7 @@
         quarantine,
         limits: upstreamLimits,
         observations: upstreamObservations,
+        turns: hostTurns,
         streamVersions,
         reachability,
         relay: new relays.RelayClient(hostAgent),
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -52,6 +52,8 @@
     readonly sendObservations: (told: readonly observations.ToldObservation[], hosts: readonly string[]) => void;
     /** Tells all hosts how long an upstream goes on to warm up, by an answer that this host has read. */
     readonly broadcastWarmUp: (incarnation: string, leftMs: decision.Milliseconds) => void;
+    /** Sends a message about turns. */
+    readonly sendTurnMessage: (message: messages.TurnMessage, host: string) => void;
     /** Sends what this host read in the store to the given hosts. */
     readonly sendStoreUpdate: (update: routing.StoreUpdate, hosts: readonly string[]) => void;
 }
@@ -74,6 +76,7 @@
     /** The emptied zones that this host tells to those that ask. */
     readonly evacuations: () => routing.EvacuationListing | undefined;
     readonly onEvacuations: (listing: routing.EvacuationListing, from: string) => void;
+    readonly onTurnMessage: (message: messages.TurnMessage, from: string) => void;
     /** Called for each datagram that is no message that this build knows. */
     readonly onUnread: (reason: messages.UnreadReason) => void;
 }
@@ -170,6 +173,13 @@
             case messages.MessageKind.Observations:
                 options.onObservations?.(message.observations);
                 return;
+            case messages.MessageKind.TurnAsk:
+            case messages.MessageKind.Turn:
+            case messages.MessageKind.TurnReturned:
+            case messages.MessageKind.Runs:
+            case messages.MessageKind.Contention:
+                options.onTurnMessage(message, `${from.address}:${from.port}`);
+                return;
             case undefined: {
                 const reason = messages.unreadReason(bytes);
                 options.onUnread(reason);
@@ -279,6 +289,7 @@
                 incarnation,
                 leftMs: Math.max(0, leftMs - delayMs),
             })),
+        sendTurnMessage: send,
         sendStoreUpdate: (update, hosts) =>
             hosts.forEach((host) => send({ kind: messages.MessageKind.StoreUpdate, news: update }, host)),
         askEvacuations: (hosts) => hosts.forEach((host) => send({ kind: messages.MessageKind.AskEvacuations }, host)),
--- a/packages/gateway/test/betweenhosts.test.ts
+++ b/packages/gateway/test/betweenhosts.test.ts
@@ -118,6 +118,7 @@
             onStoreUpdate: () => undefined,
             evacuations: () => undefined,
             onEvacuations: () => undefined,
+            onTurnMessage: () => undefined,
             onUnread: () => undefined,
         });
         for (const name of ["a", "b", "c", "d", "e", "f", "g", "h"]) {
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -46,6 +46,7 @@
             onStoreUpdate: () => undefined,
             evacuations: () => undefined,
             onEvacuations: () => undefined,
+            onTurnMessage: () => undefined,
             onUnread: () => undefined,
         });
 
