Retry budget: a permit for each send, and parts that hold as hosts start again

Change: SendPermits (dispatch) gives leave for each send, sendRequest makes none without; taken retries stay taken until used; no extra retries in a process's first window, and none before the hosts were listed; shared by the most hosts of the last minute.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./headroom.js";
 export * from "./health.js";
 export * from "./limits.js";
+export * from "./permits.js";
 export * from "./placement.js";
 export * from "./queue.js";
 export * from "./quota.js";
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,5 +1,5 @@
 import * as decision from "@citronlead/decision";
-import type * as dispatch from "@citronlead/dispatch";
+import * as dispatch from "@citronlead/dispatch";
 import type * as routing from "@citronlead/routing";
 import type * as http from "node:http";
 import type * as callrecords from "./callrecord.js";
@@ -81,15 +81,11 @@
     relayedEvents = 0;
     /** Incarnation of the upstream whose latest answer says that it leaves. */
     leavingUpstream: string | undefined;
-    /** Number of sends that reached an upstream, without the first prefill that one accepted. */
-    arrivals = 0;
-    /** Whether an upstream accepted a prefill for it. */
-    hasPrefill = false;
+    /** Leave for each send to an upstream, from the budget of its service. */
+    readonly permits: dispatch.SendPermits;
     /** Whether an upstream responded to a call for it, such as a reservation. */
     hasContact = false;
-    /** Retries that were taken from the budget for sends to come. */
-    private heldRetries = 0;
-    private counted = false;
+    private countedAt: decision.Milliseconds | undefined;
     /** Whether other hosts were asked to serve it. */
     wasOfferedToHosts = false;
 
@@ -114,6 +110,13 @@
         this.deadlineAt = startedAt + Math.min(route.timeoutMs, callerTimeoutMs);
         this.expectedOutput = context.outputForecast.forecast(route.name, this.outputBounds);
         this.latencyTargetAt = startedAt + route.latencyTargetMs;
+        const { clock, retryBudget } = context;
+        this.permits = new dispatch.SendPermits({
+            remaining: () => retryBudget.remaining(service, this.hostCount, clock()),
+            tryAcquire: (count) => retryBudget.tryAcquire(service, this.hostCount, clock(), count),
+            use: () => retryBudget.use(service, clock()),
+            release: () => retryBudget.release(service),
+        });
         this.deadlineTimer = setTimeout(() => this.onDeadline(), Math.max(0, this.deadlineAt - context.clock()));
         response.on("close", () => this.onCallerDisconnect());
         context.hostStop.add(this);
@@ -160,47 +163,29 @@
 
     /** Counts the request towards the retries that its service may get. */
     countForRetries(): void {
-        this.counted = true;
-        this.context.retryBudget.countRequest(this.service, this.startedAt);
+        this.countedAt = this.context.clock();
+        this.context.retryBudget.countRequest(this.service, this.countedAt);
     }
 
     /** Takes back what this host has charged for a request of which nothing has reached an upstream. */
     takeBackCharges(): void {
         this.unsentCallback?.();
         this.unsentCallback = undefined;
-        if (this.counted) {
-            this.counted = false;
-            this.context.retryBudget.discountRequest(this.service, this.context.clock());
+        if (this.countedAt !== undefined) {
+            this.context.retryBudget.discountRequest(this.service, this.countedAt);
+            this.countedAt = undefined;
         }
     }
 
     /** Number of retries that the budget has left, with those taken for this request. */
     get remainingRetries(): number {
-        const { clock, retryBudget, storeView } = this.context;
-        return this.heldRetries + retryBudget.remaining(this.service, storeView.hosts().length, clock());
+        const { clock, retryBudget } = this.context;
+        return this.permits.heldRetries + retryBudget.remaining(this.service, this.hostCount, clock());
     }
 
     /** Takes retries for the next sends, unless none has reached an upstream. Returns false if the budget has too few. */
     tryAcquireRetries(count = 1): boolean {
-        const { clock, retryBudget, storeView } = this.context;
-        const missing = this.arrivals === 0 ? 0 : count - this.heldRetries;
-        if (missing > 0 && !retryBudget.tryAcquire(this.service, storeView.hosts().length, clock(), missing)) {
-            return false;
-        }
-        this.heldRetries += Math.max(0, missing);
-        return true;
-    }
-
-    /** Records that a send reached its upstream; all but the first are retries. */
-    recordArrival(): void {
-        if (++this.arrivals === 1) {
-            return;
-        }
-        if (this.heldRetries > 0) {
-            this.heldRetries--;
-            return;
-        }
-        this.context.retryBudget.countRetry(this.service, this.context.clock());
+        return this.permits.tryHold(count);
     }
 
     /** Records the start of a call, so that it is logged if the request ends while the call is in flight. */
@@ -290,7 +275,8 @@
      * that another host relayed is refused, so that the host asks a third.
      */
     async serveElsewhereIfUnreached(): Promise<boolean> {
-        const isUnreached = this.callRecords.length > 0 && this.arrivals === 0 && !this.hasContact && !this.hasPrefill;
+        const isUnreached = this.callRecords.length > 0 && this.permits.arrivals === 0 && !this.hasContact
+            && !this.permits.hasPrefill;
         if (this.finished || this.mayHaveRun || this.response.headersSent || !isUnreached) {
             return this.finished;
         }
@@ -351,6 +337,12 @@
         });
     }
 
+    /** Number of hosts that share the retry budget; 0 before they have been listed. */
+    private get hostCount(): number {
+        const { storeView } = this.context;
+        return storeView.hasListedHosts() ? storeView.hosts().length : 0;
+    }
+
     private elapsedMs(): number {
         return Math.round(this.context.clock() - this.startedAt);
     }
@@ -384,9 +376,7 @@
             this.callRecords.push(this.callInFlight);
         }
         clearTimeout(this.deadlineTimer);
-        for (; this.heldRetries > 0; this.heldRetries--) {
-            this.context.retryBudget.release(this.service, this.context.clock());
-        }
+        this.permits.close();
         this.abortController.abort();
         this.notifyUnsent();
         this.context.logOutcome(this, reason, status);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -71,11 +71,13 @@
     /** Creates the registry, which reports store entries that it cannot decode to `onUnreadable`. */
     readonly makeRegistry: (onUnreadable: (key: string, problem: string) => void) => registries.Registry;
     readonly random: () => number;
+    /** Whether another process of this host may have run until shortly before. */
+    readonly mayReplaceProcess?: boolean;
 }
 
 /** Starts a gateway. The settings must have been validated. */
 export async function startGateway(
-    { settings, wireFormat, makeRegistry, random }: GatewayOptions,
+    { settings, wireFormat, makeRegistry, random, mayReplaceProcess = false }: GatewayOptions,
 ): Promise<Gateway> {
     let current = settings;
     const scope = new lifecycle.Scope("gateway");
@@ -152,7 +154,7 @@
         notices: new notices.UpstreamNotices({ clock, log, pool, random }),
         storeView,
         peers: peerChannel,
-        retryBudget: new dispatch.RetryBudget(() => current.retries),
+        retryBudget: new dispatch.RetryBudget(() => current.retries, mayReplaceProcess ? clock() : undefined),
         outputForecast: new dispatch.OutputForecast(),
         durationForecast,
         quarantine,
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -51,7 +51,7 @@
         let skipPrefill = false;
         for (let round = 0; round < MAX_ROUNDS && !exchange.isOver; round++) {
             // A round sends a decode, after a prefill that counts unless it is the first that an engine accepts.
-            if (round > 0 && !exchange.tryAcquireRetries(skipPrefill || !exchange.hasPrefill ? 1 : 2)) {
+            if (round > 0 && !exchange.tryAcquireRetries(skipPrefill || !exchange.permits.hasPrefill ? 1 : 2)) {
                 break;
             }
             const goesOn = round > 0 && progress.softwareVersion !== undefined;
--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -36,38 +36,19 @@
 export class PrefillClient {
     /** Moving average of the time per prompt token, by service. */
     private readonly msPerToken = new Map<string, number>();
-    /** Number of requests whose prefill is in flight, by service. */
-    private readonly inFlight = new Map<string, number>();
 
     /**
      * Runs the prefill of a request for the given decode engine. Undefined if no engine completed it, or if the retry budget
-     * would not bear its failure beside that of the prefills in flight: a decode after a failed prefill is a retry.
+     * does not bear its failure: a decode after a failed prefill is a retry.
      */
     async prefill(exchange: exchanges.Exchange, decodeEngine: routing.Upstream): Promise<PrefillResult | undefined> {
-        const { service } = exchange;
-        const inFlight = this.inFlight.get(service) ?? 0;
-        if (exchange.remainingRetries <= inFlight) {
-            return undefined;
-        }
-        this.inFlight.set(service, inFlight + 1);
-        try {
-            return await this.tryEngines(exchange, decodeEngine);
-        }
-        finally {
-            this.inFlight.set(service, (this.inFlight.get(service) ?? 1) - 1);
-        }
-    }
-
-    private async tryEngines(
-        exchange: exchanges.Exchange,
-        decodeEngine: routing.Upstream,
-    ): Promise<PrefillResult | undefined> {
         const { context } = exchange;
         const tried = new Set<string>();
-        while (tried.size < ENGINES_PER_PREFILL) {
+        // Asks before an engine is chosen, whose limit that would charge.
+        while (tried.size < ENGINES_PER_PREFILL && exchange.permits.mayBegin(true)) {
             // Ranked anew each time: an engine may have begun to drain while another was tried.
             const { candidate } = await context.limits.firstPermitted(rankUntried(exchange, decodeEngine, tried));
-            if (!candidate || exchange.isOver || (tried.size > 0 && !exchange.tryAcquireRetries())) {
+            if (!candidate || exchange.isOver) {
                 return undefined;
             }
             tried.add(routing.incarnationOf(candidate.upstream));
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -189,14 +189,14 @@
 
 /** Whether an error response is followed by a retry instead of being relayed. */
 function mayRetryFailure(exchange: exchanges.Exchange, runs: number): boolean {
-    const { context, route, service } = exchange;
+    const { route } = exchange;
     return dispatch.mayRetry({
         route,
         effect: dispatch.SendEffect.RanAndFailed,
         runs,
         responseStarted: false,
         hasTimeLeft: exchange.remainingMs > MIN_REMAINING_MS,
-    }) && context.retryBudget.remaining(service, context.storeView.hosts().length, context.clock()) > 0;
+    }) && exchange.remainingRetries > 0;
 }
 
 /** Refuses a request; `limitedForMs` is the time until an upstream takes one again, if upstreams have named limits. */
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -68,6 +68,11 @@
         exchange.recordCall(options.call, upstream, `not sent: ${exclusion}`, startedAt);
         return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason: exclusion };
     }
+    const permit = exchange.permits.tryBegin(options.prefillOnly ?? false);
+    if (!permit) {
+        exchange.recordCall(options.call, upstream, "not sent: retry budget", startedAt);
+        return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason: "retryBudget" };
+    }
     exchange.beginCall(options.call, upstream);
     const forwarding: wires.ForwardingMetadata = {
         expectedUpstream: upstream.id,
@@ -101,12 +106,15 @@
     context.reachability.record(upstream, outcome);
     const sent = await classifyOutcome(exchange, upstream, outcome, options.call, startedAt);
     const acceptedPrefill = options.prefillOnly && sent.kind === SendKind.Response && sent.response.statusCode === 200;
-    if (acceptedPrefill && !exchange.hasPrefill) {
-        exchange.hasPrefill = true;
-    }
-    else if (outcome.progress !== calls.CallProgress.NotSent) {
-        exchange.recordArrival();
-    }
+    const arrived = outcome.progress !== calls.CallProgress.NotSent;
+    exchange.permits.settle(
+        permit,
+        acceptedPrefill
+            ? dispatch.SendEnd.PrefillAccepted
+            : arrived
+            ? dispatch.SendEnd.Arrived
+            : dispatch.SendEnd.NotArrived,
+    );
     const text = sent.kind === SendKind.Response ? String(sent.response.statusCode) : `${sent.kind}: ${sent.reason}`;
     exchange.recordCall(options.call, upstream, text, startedAt);
     recordHealth(health, sent, exchange.isOver, context.clock());
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -40,6 +40,8 @@
     readonly activeConfiguration: () => routing.ActiveConfiguration | undefined;
     /** Addresses of the registered hosts, including this one. */
     readonly hosts: () => readonly string[];
+    /** Whether the hosts have been read from the store; before, only this one is known. */
+    readonly hasListedHosts: () => boolean;
     /** See `Registry.holdDuty`. */
     readonly holdDuty: registries.Registry["holdDuty"];
     /** Whether the upstreams were listed as lately as they are without disturbance. */
@@ -81,6 +83,7 @@
     const maxSilenceMs = () => freshness().listingPeriodMs * directories.MAX_SILENT_PERIODS;
     let active: routing.ActiveConfiguration | undefined;
     let hosts: readonly string[] = [options.address];
+    let hasListedHosts = false;
     let publishUpdate: PublishUpdate | undefined;
     let group = routing.readerGroupOf(hosts, options.address, READER_GROUP_OPTIONS);
     const version = () => active?.table.configuration.version ?? 0;
@@ -157,6 +160,7 @@
                 log.notice("hosts changed", { hosts: next.length, former: hosts.length, reader: group.isReader });
             }
             hosts = next;
+            hasListedHosts = true;
         }
         return registered.effect === decision.Effect.Known ? listed : registered;
     };
@@ -218,6 +222,7 @@
     return {
         activeConfiguration: () => active,
         hosts: () => hosts,
+        hasListedHosts: () => hasListedHosts,
         holdDuty: registry.holdDuty,
         setPublisher: (publisher) => publishUpdate = publisher,
         isInStep: () => !stalls.readsBacklog && upstreamPoller.ageMs <= maxSilenceMs(),
--- a/packages/gateway/test/retries.test.ts
+++ b/packages/gateway/test/retries.test.ts
@@ -12,15 +12,22 @@
 const breakOff: fixtures.Behaviour = (_, __, request) => request.socket.resetAndDestroy();
 const stream: fixtures.Behaviour = (received, response) => fixtures.signed(response, received, "id: 1\ndata: a\n\n");
 
+/** Breaks off once several requests wait, so that each was decided on before the others failed. */
+const breakOffLater: fixtures.Behaviour = (_, __, request) =>
+    void setTimeout(() => request.socket.resetAndDestroy(), 200);
+
 describe("Retries of model requests stay within the budget", () => {
     /** Sends requests to engines that behave as given, and returns the number of retries that reached them. */
     const countRetries = async (
         portOffset: number,
         behaviours: { readonly prefill: fixtures.Behaviour; readonly decode: fixtures.Behaviour; },
+        atOnce = 1,
     ) => {
         const fixture = new fixtures.Fixture(portOffset);
         fixture.retries = { ratio: 0, extra: EXTRA, windowMs: 60_000 };
-        for (const [id, stage] of [["p", "Prefill"], ["d-1", "Decode"], ["d-2", "Decode"]] as const) {
+        for (
+            const [id, stage] of [["p-1", "Prefill"], ["p-2", "Prefill"], ["d-1", "Decode"], ["d-2", "Decode"]] as const
+        ) {
             const standIn = await fixture.addStandIn(id, { service: "model", stage: routing.EngineStage[stage] });
             standIn.behave = (received, response, request) => {
                 if (received.path === "/reserve") {
@@ -32,13 +39,15 @@
             };
         }
         await fixture.start(fixtures.makeConfiguration());
-        for (let count = 0; count < REQUESTS; count++) {
-            await fixture.send({
+        const send = (count: number) =>
+            fixture.send({
                 path: "/resume/1",
                 method: "POST",
                 body: `prompt ${count}`,
                 headers: { "prompt-tokens": "50", "output-tokens": "10", "request-id": `r-${count}` },
             });
+        for (let count = 0; count < REQUESTS; count += atOnce) {
+            await Promise.all(Array.from({ length: atOnce }, (_, index) => send(count + index)));
         }
         const sent = fixture.standIns.flatMap(({ received }) => received).filter(({ path }) => path === "/resume/1");
         await fixture.close();
@@ -52,6 +61,11 @@
         chai.expect(await countRetries(2_940, { prefill: acceptPrefill, decode: breakOff })).to.be.within(1, EXTRA);
     });
 
+    it("when the prefills of many requests are lost at once", async () => {
+        const retries = await countRetries(2_980, { prefill: breakOffLater, decode: stream }, REQUESTS);
+        chai.expect(retries).to.be.within(1, EXTRA);
+    });
+
     it("when prefills are lost before the first decode", async () => {
         chai.expect(await countRetries(2_960, { prefill: breakOff, decode: stream })).to.be.within(1, EXTRA);
     });
