--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./health.js";
 export * from "./limits.js";
 export * from "./observations.js";
+export * from "./permits.js";
 export * from "./placement.js";
 export * from "./queue.js";
 export * from "./quota.js";
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -56,6 +56,8 @@
     readonly evacuations: () => routing.EvacuationListing | undefined;
     /** Handles the emptied zones that another host knows. */
     readonly receiveEvacuations: (listing: routing.EvacuationListing, from: string) => void;
+    /** Whether the hosts have been read from the store; before, only this one is known. */
+    readonly hasListedHosts: () => boolean;
     /** See `Registry.holdDuty`. */
     readonly holdDuty: registries.Registry["holdDuty"];
     /** Whether the upstreams were listed as lately as they are without disturbance. */
@@ -103,6 +105,7 @@
     let active: routing.ActiveConfiguration | undefined;
     let hosts: readonly string[] = [options.address];
     let hostZones: ReadonlyMap<string, string> = new Map();
+    let hasListedHosts = false;
     let publishUpdate: PublishUpdate | undefined;
     let askEvacuations: ((hosts: readonly string[]) => void) | undefined;
     let askedAt: decision.Milliseconds = -Infinity;
@@ -236,6 +239,7 @@
                 log.notice("hosts changed", { hosts: next.length, former: hosts.length, reader: group.isReader });
             }
             hosts = next;
+            hasListedHosts = true;
         }
         return registered.effect === decision.Effect.Known ? listed : registered;
     };
@@ -311,6 +315,7 @@
         zoneOfHost: (address) => hostZones.get(address),
         evacuations: () => keeper.listing,
         receiveEvacuations: (listing, from) => void keeper.adopt(listing, from),
+        hasListedHosts: () => hasListedHosts,
         holdDuty: registry.holdDuty,
         setPublisher: (publisher, ask) => {
             publishUpdate = publisher;
