--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -103,7 +103,7 @@
         deadlineAt: exchange.deadlineAt,
         workspace: workspace?.name ?? "",
         workspaceWeight: workspace && workspace.ratePerSecond > 0 ? workspace.ratePerSecond : 1,
-        hadRoom: exchange.arrivals > 0 || exchange.hasPrefill,
+        hadRoom: exchange.permits.arrivals > 0 || exchange.permits.hasPrefill,
         content: exchange.fingerprints.content,
         amount: exchange.reservedTokens,
     };
--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -212,7 +212,6 @@
         }
         era = Math.max(era, latest);
     };
-    let hasListedHosts = false;
     const refreshHosts = async () => {
         // Listed first at the start, so that a host knows what is barred as soon as it can; later a store that does not renew
         // the registration is not asked for the list either.
