--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -238,7 +238,6 @@
                 log.notice("hosts changed", { hosts: next.length, former: hosts.length, reader: group.isReader });
             }
             hosts = next;
-            hasListedHosts = true;
         }
         return registered.effect === decision.Effect.Known ? listed : registered;
     };
