--- a/packages/dispatch/src/room.ts
+++ b/packages/dispatch/src/room.ts
@@ -170,31 +170,42 @@
     }
 }
 
+interface RoomChange {
+    readonly at: decision.Milliseconds;
+    readonly amount: number;
+}
+
 /** Room at one place over time. */
 class Profile {
-    private readonly changes: { at: decision.Milliseconds; amount: number; }[] = [];
-    private sorted = true;
+    /** In order of time. */
+    private readonly changes: RoomChange[] = [];
 
     constructor(readonly place: Place, readonly freeNow: number) {}
 
     add(at: decision.Milliseconds, amount: number): void {
-        this.changes.push({ at, amount });
-        this.sorted = false;
+        let index = this.changes.length;
+        while (index > 0 && (this.changes[index - 1] as RoomChange).at > at) {
+            index--;
+        }
+        this.changes.splice(index, 0, { at, amount });
     }
 
-    /** When the need can be met from the given time on without delaying what was added before; infinite if never. */
-    earliest({ amount, durationMs }: RoomNeed, from: decision.Milliseconds): decision.Milliseconds {
+    /**
+     * When the need can be met from the given time on without delaying what was added before; infinite if not by the latest
+     * time that is of interest.
+     */
+    earliest(
+        { amount, durationMs }: RoomNeed,
+        from: decision.Milliseconds,
+        latest: decision.Milliseconds,
+    ): decision.Milliseconds {
         if (amount > this.place.capacity) {
             return Infinity;
         }
-        if (!this.sorted) {
-            this.changes.sort((one, other) => one.at - other.at);
-            this.sorted = true;
-        }
         let free = this.freeNow;
         let start = free >= amount ? from : Infinity;
         for (const change of this.changes) {
-            if (change.at >= start + durationMs) {
+            if (change.at >= start + durationMs || (start === Infinity && change.at > latest)) {
                 break;
             }
             free += change.amount;
@@ -216,7 +227,9 @@
         let best: { start: Start; isRemote: boolean; left: number; } | undefined;
         for (const profile of this.profiles) {
             const { place, freeNow } = profile;
-            const at = need.avoided.has(place.name) ? Infinity : profile.earliest(need, from);
+            const at = need.avoided.has(place.name)
+                ? Infinity
+                : profile.earliest(need, from, best?.start.at ?? Infinity);
             if (at === Infinity) {
                 continue;
             }
--- a/packages/dispatch/src/turns.ts
+++ b/packages/dispatch/src/turns.ts
@@ -24,6 +24,8 @@
 
 /** How long after a refusal of others a workspace beyond its share gets nothing. */
 const SHORTAGE_MS = 300;
+/** How long the rate at which room comes is used again. */
+const DRAIN_TTL_MS = 10;
 /** Largest load of requests that come before a waiter which its forecast assumes to last. */
 const MAX_LOAD = 0.9;
 /** By how much a forecast may exceed the time that a waiter has before it is refused: runs end early or late. */
@@ -69,6 +71,7 @@
     /** When a request of a workspace within its share was last refused, by urgency. */
     private readonly refusedWithinShareAt = new Map<number, decision.Milliseconds>();
     private readonly returns = new returns.ReturnCalendar();
+    private drain = { at: -Infinity, perMs: 0 };
     private activeSince: decision.Milliseconds = Infinity;
     private activeAt: decision.Milliseconds = -Infinity;
 
@@ -264,7 +267,7 @@
             return Infinity;
         }
         const demandPerMs = this.demandBefore(late ? Infinity : urgency, now);
-        const drainPerMs = this.room.drainPerMs(demands.RATE_PERIOD_MS, now);
+        const drainPerMs = this.drainPerMs(now);
         const load = drainPerMs > 0 ? Math.min(MAX_LOAD, demandPerMs / drainPerMs) : 0;
         return (start.at - now) / (1 - load);
     }
@@ -295,7 +298,7 @@
         const { request } = waiter;
         const demand = this.demandOf(request.urgency);
         const demandShare = demand.perMs(now) / this.demandBefore(Infinity, now);
-        const drainPerMs = this.room.drainPerMs(demands.RATE_PERIOD_MS, now) * demandShare;
+        const drainPerMs = this.drainPerMs(now) * demandShare;
         const meanAmount = demand.mean;
         const room = { startAt: start?.at, drainPerMs, meanAmount };
         const { promised, at } = this.returns.plan(request, room, this.options.random(), now);
@@ -308,6 +311,14 @@
         return { request, turn };
     }
 
+    /** Amount per millisecond that becomes free, as of a short time ago. */
+    private drainPerMs(now: decision.Milliseconds): number {
+        if (now - this.drain.at > DRAIN_TTL_MS) {
+            this.drain = { at: now, perMs: this.room.drainPerMs(demands.RATE_PERIOD_MS, now) };
+        }
+        return this.drain.perMs;
+    }
+
     /** Amount per millisecond that requests of more urgent ranks asked for lately. */
     private demandBefore(urgency: number, now: decision.Milliseconds): number {
         let sum = 0;
--- a/packages/gateway/src/turnowner.ts
+++ b/packages/gateway/src/turnowner.ts
@@ -21,6 +21,8 @@
 const FIRST_EVENT_DELAY_MS = 220;
 /** How long requests that missed their target keep waiting for room that no other request needs. */
 const MAX_LATE_WAIT_MS = 1_500;
+/** Multiple of the time that a decision took in which there is no further one. */
+const REST_FACTOR = 10;
 /** Maximum number of waiters of a service. */
 const MAX_WAITERS = 2_000;
 
@@ -39,6 +41,8 @@
     readonly urgencies: Set<number>;
     contentionSentAt: decision.Milliseconds;
     decideAt: decision.Milliseconds;
+    /** Until when nothing is decided, so that decisions take a bounded share of the processor. */
+    restsUntil: decision.Milliseconds;
 }
 
 /** Decides turns for the services that this host owns: keeps their orders, tells hosts of contention, sends decisions. */
@@ -114,6 +118,7 @@
             urgencies: new Set<number>(),
             contentionSentAt: -Infinity,
             decideAt: Infinity,
+            restsUntil: -Infinity,
         };
         this.services.set(service, known);
         return known;
@@ -134,12 +139,13 @@
 
     private scheduleDecision(service: string, owned: OwnedService, delayMs: decision.Milliseconds): void {
         const { clock, scope } = this.context;
-        const at = clock() + delayMs;
+        const now = clock();
+        const at = Math.max(now + delayMs, owned.restsUntil);
         if (at >= owned.decideAt) {
             return;
         }
         owned.decideAt = at;
-        lifecycle.after(scope, delayMs, () => {
+        lifecycle.after(scope, at - now, () => {
             // A later call may have been overtaken by one that was scheduled for an earlier time.
             if (owned.decideAt === at) {
                 owned.decideAt = Infinity;
@@ -168,6 +174,8 @@
         }
         const sizes = owned.order.sizeByUrgency();
         owned.urgencies.forEach((urgency) => metrics.turnWaiters.set({ service, urgency }, sizes.get(urgency) ?? 0));
+        const decidedAt = clock();
+        owned.restsUntil = decidedAt + REST_FACTOR * (decidedAt - now);
         if (owned.order.size > 0) {
             this.scheduleDecision(service, owned, DECIDE_PERIOD_MS);
         }
