--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -64,11 +64,13 @@
     const { context, service } = exchange;
     const takesTurns = mayTakeTurns(exchange, isEligible);
     if (!queue.hasWaiters && !(takesTurns && context.turns.isContended(service))) {
+        const refusedBefore = exchange.refusedReservations;
         const reservation = await tryReserve(exchange, queue, isEligible);
         if (typeof reservation !== "string" || reservation === ReservationFailure.Away) {
             return reservation;
         }
-        if (reservation !== ReservationFailure.Full) {
+        // Engines that could not be asked, such as those that warm up, do not lack room.
+        if (reservation !== ReservationFailure.Full || exchange.refusedReservations === refusedBefore) {
             return waitInQueue(exchange, queue, isEligible);
         }
     }
