Speeds of engines: what all hosts have timed decides the placement

Engines of asahi have speeds of 0.6, 1.0 and 1.6 and are noisy; 81 hosts share 63, so a host sees an engine once in seconds and ranked by its own prefills alone, decode engines by none. Each host times prefills (a token) and events (their gaps), tells its samples of the last second to six hosts, and ranks by the mean of all over the typical of the service, with a half-life of 5 s; one message counts for three samples at most.

Fast engines are not preferred to usual ones (the ratio counts from 1 up): hosts do not see each other's requests in flight and would all go to the same third.

--- a/packages/dispatch/src/health.ts
+++ b/packages/dispatch/src/health.ts
@@ -43,10 +43,14 @@
     /** Number of sends in flight. */
     inFlight = 0;
 
-    /** `beliefAt` says what the observations of all hosts amount to. */
+    /**
+     * `beliefAt` says what the observations of all hosts amount to, `ratioAt` how long the upstream takes in relation to
+     * others by the samples of all hosts.
+     */
     constructor(
         private readonly beliefAt: (now: decision.Milliseconds) => observations.Belief = () =>
             observations.Belief.Sound,
+        private readonly ratioAt: (now: decision.Milliseconds) => number | undefined = () => undefined,
     ) {}
 
     record(result: SendResult, now: decision.Milliseconds): void {
@@ -90,6 +94,11 @@
         return this.slowness;
     }
 
+    /** How long the upstream takes in relation to the others: by the samples of all hosts, or of this one before there are some. */
+    expectedSlowness(now: decision.Milliseconds): number {
+        return this.ratioAt(now) ?? this.slowness;
+    }
+
     /** Share of recent sends that failed, from 0 to 1. Older results count less. */
     failureRate(now: decision.Milliseconds): number {
         const decay = this.decayFactor(now);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./rendezvous.js";
 export * from "./retry.js";
 export * from "./silence.js";
+export * from "./speeds.js";
 export * from "./stages.js";
 export * from "./stopping.js";
 export * from "./streamsequence.js";
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -28,7 +28,7 @@
 
 /** Expected cost of a send, in units of one send in flight; lower is better. */
 function cost({ upstream, health }: Candidate, options: PlacementOptions, now: decision.Milliseconds): number {
-    const load = (health.inFlight + 1) * Math.max(1, health.slownessRatio);
+    const load = (health.inFlight + 1) * Math.max(1, health.expectedSlowness(now));
     const zone = upstream.availabilityZone === options.availabilityZone ? 0 : options.crossZonePenalty;
     const warmUp = upstream.warmUpLeftMs > 0 ? 1 : 0;
     return load + zone + warmUp + FAILURE_PENALTY * health.failureRate(now) + RANDOM_WEIGHT * options.random();
--- a/packages/dispatch/src/rendezvous.ts
+++ b/packages/dispatch/src/rendezvous.ts
@@ -23,3 +23,13 @@
     const own = score(self, key);
     return hosts.filter((host) => host !== self && score(host, key) > own).length;
 }
+
+/** Draws at most so many of the entries; `random` draws numbers in [0, 1). */
+export function drawSome<Value>(from: readonly Value[], count: number, random: () => number): Value[] {
+    const left = [...from];
+    const drawn: Value[] = [];
+    while (drawn.length < count && left.length > 0) {
+        drawn.push(...left.splice(Math.floor(random() * left.length), 1));
+    }
+    return drawn;
+}
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -13,6 +13,7 @@
 import type * as relays from "./relay/client.js";
 import type * as reachabilities from "./relay/reachability.js";
 import type * as settings from "./settings.js";
+import type * as speeds from "./speeds.js";
 import type * as stops from "./stop.js";
 import type * as views from "./store/view.js";
 import type * as agents from "./upstream/agent.js";
@@ -41,6 +42,7 @@
     readonly quarantine: quarantines.Quarantine;
     readonly limits: limits.UpstreamLimits;
     readonly observations: observations.UpstreamObservations;
+    readonly speeds: speeds.EngineSpeeds;
     readonly reachability: reachabilities.UpstreamReachability;
     readonly relay: relays.RelayClient;
     /** Region of an availability zone; undefined if it is not known. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import * as reachabilities from "./relay/reachability.js";
 import * as servers from "./server.js";
 import type * as settings from "./settings.js";
+import * as speeds from "./speeds.js";
 import * as stops from "./stop.js";
 import * as views from "./store/view.js";
 import * as agents from "./upstream/agent.js";
@@ -91,13 +92,16 @@
     const upstreamLimits = new limits.UpstreamLimits(clock, log);
     const self = `${settings.peers.address}:${settings.peers.port}`;
     const observed = new dispatch.ObservedUpstreams(self);
+    const sharedSpeeds = new dispatch.SharedSpeeds();
     const pool = new pools.UpstreamPool(
         (incarnation) => {
             agent.closeIdle(incarnation);
             upstreamLimits.forget(incarnation);
             observed.forget(incarnation);
+            sharedSpeeds.forget(incarnation);
         },
         (incarnation, now) => observed.beliefOf(incarnation, now),
+        (incarnation, now) => sharedSpeeds.ratioOf(incarnation, now),
     );
     const quarantine = new quarantines.Quarantine(
         clock,
@@ -142,6 +146,7 @@
         quotaWindowMs: settings.quotaWindowMs,
         onStoreUpdate: storeView.receiveUpdate,
         onObservations: (told) => upstreamObservations.receive(told),
+        onSpeeds: (samples) => engineSpeeds.receive(samples),
         evacuations: storeView.evacuations,
         onEvacuations: storeView.receiveEvacuations,
         onUnread: (reason) => gatewayMetrics.unreadMessages.inc({ reason }),
@@ -171,6 +176,16 @@
             await liveness.probe(context, upstream);
         },
     });
+    const engineSpeeds = new speeds.EngineSpeeds({
+        scope,
+        clock,
+        speeds: sharedSpeeds,
+        pool,
+        self,
+        hosts: storeView.hosts,
+        random,
+        send: peerChannel.sendSpeeds,
+    });
     const context: contexts.GatewayContext = {
         scope,
         settings,
@@ -190,6 +205,7 @@
         quarantine,
         limits: upstreamLimits,
         observations: upstreamObservations,
+        speeds: engineSpeeds,
         streamVersions,
         reachability,
         relay: new relays.RelayClient(hostAgent),
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -22,6 +22,8 @@
     StoreUpdate = "news",
     /** Tells what hosts have seen of upstreams. */
     Observations = "observed",
+    /** Tells how long engines take. */
+    Speeds = "speeds",
     /** From a host that cannot read the store: asks for the emptied zones. */
     AskEvacuations = "askEvacuations",
     /** Tells which zones are emptied. */
@@ -120,6 +122,15 @@
             ageMs: amount,
         })).max(MAX_OBSERVATIONS),
     }),
+    zod.object({
+        kind: zod.literal(MessageKind.Speeds),
+        samples: zod.array(zod.object({
+            incarnation: text,
+            kind: zod.enum(dispatch.SpeedKind),
+            unitMs: amount,
+            count: amount,
+        })).max(MAX_OBSERVATIONS),
+    }),
     zod.object({ kind: zod.literal(MessageKind.AskEvacuations) }),
     zod.object({ kind: zod.literal(MessageKind.Evacuations), listing: evacuationsSchema }),
 ]);
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -232,6 +232,7 @@
         const startedAt = this.context.clock();
         const relayedBefore = exchange.relayedEvents;
         const { upstream } = reservation.candidate;
+        let first: { readonly at: decision.Milliseconds; readonly events: number; } | undefined;
         const end = await relays.relayEvents(
             exchange,
             response,
@@ -239,6 +240,7 @@
             silence,
             () => liveness.isStillRunning(this.context, upstream),
             () => {
+                first ??= { at: this.context.clock(), events: exchange.relayedEvents };
                 if (progress.softwareVersion === undefined && exchange.route.resumable) {
                     progress.softwareVersion = upstream.softwareVersion;
                     this.context.streamVersions.onBegun(exchange, upstream.softwareVersion);
@@ -250,6 +252,10 @@
             this.context.quarantine.recordServed(exchange);
             this.observeOutput(exchange);
             const runMs = this.context.clock() - startedAt;
+            if (first) {
+                const events = exchange.relayedEvents - first.events;
+                this.context.speeds.recordEvents(upstream, this.context.clock() - first.at, events);
+            }
             this.stageKeeper.balanceOf(exchange.service).observeRun(runMs, exchange.reservedTokens);
         }
         if (end === relays.RelayEnd.OutOfBounds) {
--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -1,6 +1,7 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
+import type * as contexts from "../context.js";
 import type * as exchanges from "../exchange.js";
 import * as json from "../json.js";
 import * as sends from "../send.js";
@@ -106,6 +107,7 @@
                 return undefined;
             }
             this.observeSpeed(
+                context.speeds,
                 exchange.service,
                 candidate,
                 (context.clock() - startedAt) / Math.max(1, metadata.promptTokens),
@@ -125,9 +127,15 @@
             : meanMsPerToken * exchange.metadata.promptTokens * TIMEOUT_FACTOR + QUEUE_ALLOWANCE_MS;
     }
 
-    private observeSpeed(service: string, candidate: dispatch.Candidate, msPerToken: number): void {
+    private observeSpeed(
+        speeds: contexts.GatewayContext["speeds"],
+        service: string,
+        candidate: dispatch.Candidate,
+        msPerToken: number,
+    ): void {
         const meanMsPerToken = this.msPerToken.get(service) ?? msPerToken;
         candidate.health.recordSlowness(msPerToken / meanMsPerToken);
+        speeds.recordPrefill(candidate.upstream, msPerToken);
         this.msPerToken.set(
             service,
             meanMsPerToken * (1 - SPEED_SMOOTHING_FACTOR)
--- a/packages/gateway/src/observations.ts
+++ b/packages/gateway/src/observations.ts
@@ -172,12 +172,8 @@
             ...observation,
             ageMs: Math.max(0, Math.round(clock() - observedAt)),
         }));
-        const chosen: string[] = [];
-        while (chosen.length < FAN_OUT && others.length > 0) {
-            chosen.push(...others.splice(Math.floor(random() * others.length), 1));
-        }
         if (batch.length > 0) {
-            send(batch, chosen);
+            send(batch, dispatch.drawSome(others, FAN_OUT, random));
         }
         const [next] = this.pending.splice(0, 1);
         if (next) {
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -50,6 +50,8 @@
     readonly broadcastLimit: (incarnation: string, perSecond: number | undefined) => void;
     /** Tells the given hosts what was seen of upstreams. */
     readonly sendObservations: (told: readonly observations.ToldObservation[], hosts: readonly string[]) => void;
+    /** Tells the given hosts how long engines took. */
+    readonly sendSpeeds: (samples: readonly dispatch.SpeedSamples[], hosts: readonly string[]) => void;
     /** Sends what this host read in the store to the given hosts. */
     readonly sendStoreUpdate: (update: routing.StoreUpdate, hosts: readonly string[]) => void;
 }
@@ -70,6 +72,8 @@
     /** The emptied zones that this host tells to those that ask. */
     readonly evacuations: () => routing.EvacuationListing | undefined;
     readonly onEvacuations: (listing: routing.EvacuationListing, from: string) => void;
+    /** Called with how long engines took for other hosts. */
+    readonly onSpeeds?: (samples: readonly dispatch.SpeedSamples[]) => void;
     /** Called for each datagram that is no message that this build knows. */
     readonly onUnread: (reason: messages.UnreadReason) => void;
 }
@@ -163,6 +167,9 @@
             case messages.MessageKind.Observations:
                 options.onObservations?.(message.observations);
                 return;
+            case messages.MessageKind.Speeds:
+                options.onSpeeds?.(message.samples);
+                return;
             case undefined: {
                 const reason = messages.unreadReason(bytes);
                 options.onUnread(reason);
@@ -266,6 +273,8 @@
             })),
         sendObservations: (told, hosts) =>
             hosts.forEach((host) => send({ kind: messages.MessageKind.Observations, observations: [...told] }, host)),
+        sendSpeeds: (samples, hosts) =>
+            hosts.forEach((host) => send({ kind: messages.MessageKind.Speeds, samples: [...samples] }, host)),
         sendStoreUpdate: (update, hosts) =>
             hosts.forEach((host) => send({ kind: messages.MessageKind.StoreUpdate, news: update }, host)),
         askEvacuations: (hosts) => hosts.forEach((host) => send({ kind: messages.MessageKind.AskEvacuations }, host)),
--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -11,10 +11,14 @@
     private evacuations: routing.Evacuations = routing.noEvacuations;
     private onUpdate: () => void = () => undefined;
 
-    /** `beliefOf` says what the observations of all hosts on an incarnation amount to. */
+    /**
+     * `beliefOf` says what the observations of all hosts on an incarnation amount to, `ratioOf` how long it takes in
+     * relation to others.
+     */
     constructor(
         private readonly onIncarnationGone: (incarnation: string) => void,
         private readonly beliefOf: dispatch.ObservedUpstreams["beliefOf"] = () => dispatch.Belief.Sound,
+        private readonly ratioOf: dispatch.SharedSpeeds["ratioOf"] = () => undefined,
     ) {}
 
     /** Sets what is called after each listing. */
@@ -158,7 +162,10 @@
     healthOf(upstream: routing.Upstream): dispatch.UpstreamHealth {
         const incarnation = routing.incarnationOf(upstream);
         const known = this.health.get(incarnation)
-            ?? new dispatch.UpstreamHealth((now) => this.beliefOf(incarnation, now));
+            ?? new dispatch.UpstreamHealth(
+                (now) => this.beliefOf(incarnation, now),
+                (now) => this.ratioOf(incarnation, now),
+            );
         this.health.set(incarnation, known);
         return known;
     }
--- a/packages/gateway/test/betweenhosts.test.ts
+++ b/packages/gateway/test/betweenhosts.test.ts
@@ -134,6 +134,8 @@
         });
         const observation = { incarnation: "i-1@17", state: dispatch.ObservedState.Refused, observer: self, ageMs: 3 };
         channel.sendObservations([observation], [`127.0.0.1:${port + 1}`]);
+        const samples = { incarnation: "i-1@17", kind: dispatch.SpeedKind.Prefill, unitMs: 0.02, count: 2 };
+        channel.sendSpeeds([samples], [`127.0.0.1:${port + 1}`]);
         channel.quarantine.broadcastBarred(["c0ffee"]);
         channel.quarantine.broadcastCleared(["p1"]);
         const update = { era: 2, revision: 45, upstreams: "digest", ageMs: 12.5, configuration: 7 };
