Observations of upstreams: each is passed on once; broken connections are told to those that probe

Ages do not show the time between hosts, so that a broken connection and the answer that refutes it each looked newer than the other at every hop and went round for ever. Observations have an id now and each host takes one in once; batches are bounded; a broken connection, which sound upstreams show too, goes to the two hosts that probe and not to all.

The host that saw a failure is not among those that probe at first.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./headroom.js";
 export * from "./health.js";
 export * from "./limits.js";
+export * from "./newest.js";
 export * from "./observations.js";
 export * from "./placement.js";
 export * from "./queue.js";
--- a/packages/dispatch/src/observations.ts
+++ b/packages/dispatch/src/observations.ts
@@ -16,6 +16,8 @@
 
 /** One observation, by the host that made it. */
 export interface Observation {
+    /** Tells the observations of one host apart. */
+    readonly id: number;
     readonly incarnation: string;
     readonly state: ObservedState;
     /** Address of the host that made it. */
@@ -180,7 +182,7 @@
             }
             if (report.at <= at) {
                 known.reports.delete(observer);
-                refuted ||= now - report.at < REPORT_TTL_MS;
+                refuted ||= report.state !== ObservedState.Broken && now - report.at < REPORT_TTL_MS;
             }
         }
         // What this host found out itself is told although it counts for nothing any more here: others may believe it still.
--- a/packages/dispatch/src/rendezvous.ts
+++ b/packages/dispatch/src/rendezvous.ts
@@ -24,6 +24,15 @@
     return hosts.filter((host) => host !== self && score(host, key) > own).length;
 }
 
+/** The first hosts in the order of a key. */
+export function firstOf(hosts: readonly string[], key: string, count: number): string[] {
+    return hosts
+        .map((host) => ({ host, score: score(host, key) }))
+        .sort((one, other) => one.score > other.score ? -1 : 1)
+        .slice(0, count)
+        .map(({ host }) => host);
+}
+
 /** Draws at most so many of the entries; `random` draws numbers in [0, 1). */
 export function drawSome<Value>(from: readonly Value[], count: number, random: () => number): Value[] {
     const left = [...from];
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
-import type * as routing from "@citronlead/routing";
+import * as routing from "@citronlead/routing";
 import type * as http from "node:http";
 import * as util from "node:util";
 import type * as contexts from "./context.js";
@@ -81,7 +81,20 @@
     let current = settings;
     const scope = new lifecycle.Scope("gateway");
     const clock = lifecycle.monotonicClock;
-    const gatewayMetrics = metrics.makeGatewayMetrics((reason) => pool.countExcluded(reason, clock()));
+    const gatewayMetrics = metrics.makeGatewayMetrics(
+        (reason) => pool.countExcluded(reason, clock()),
+        () =>
+            pool.list().map((upstream) => {
+                const incarnation = routing.incarnationOf(upstream);
+                return {
+                    upstream: upstream.id,
+                    service: upstream.service,
+                    belief: observed.beliefOf(incarnation, clock()),
+                    reportAgeMs: observed.reportAgeMs(incarnation, clock()),
+                    slowness: pool.healthOf(upstream).expectedSlowness(clock()),
+                };
+            }),
+    );
     const identity = { host: settings.host, availabilityZone: settings.availabilityZone, pid: process.pid };
     const log = logs.makeDecisionLog(identity, clock, () => gatewayMetrics.droppedLogLines.inc());
     const agent = new agents.UpstreamAgent(() => gatewayMetrics.connections.inc());
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -116,6 +116,7 @@
     zod.object({
         kind: zod.literal(MessageKind.Observations),
         observations: zod.array(zod.object({
+            id: amount,
             incarnation: text,
             state: zod.enum(dispatch.ObservedState),
             observer: text,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,3 +1,4 @@
+import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as promClient from "prom-client";
 
@@ -24,8 +25,32 @@
 /** Buckets of the latency histograms: latency targets are tenths of a second, and deadlines are some seconds. */
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.9, 1.5, 3, 6, 14];
 
-/** Makes the metrics; `countExcluded` counts the upstreams to which this host sends nothing for a reason. */
-export function makeGatewayMetrics(countExcluded: (reason: dispatch.Exclusion) => number): GatewayMetrics {
+/** What this host makes of an upstream, for the metrics. */
+export interface UpstreamDescription {
+    readonly upstream: string;
+    readonly service: string;
+    readonly belief: dispatch.Belief;
+    /** Age of the newest report on it in milliseconds; infinite if there is none. */
+    readonly reportAgeMs: number;
+    /** How long it takes in relation to others. */
+    readonly slowness: number;
+}
+
+/** Values of the metric of beliefs. */
+const BELIEF_VALUES: Readonly<Record<dispatch.Belief, number>> = {
+    [dispatch.Belief.Sound]: 0,
+    [dispatch.Belief.Suspected]: 1,
+    [dispatch.Belief.Down]: 2,
+};
+
+/**
+ * Makes the metrics; `countExcluded` counts the upstreams to which this host sends nothing for a reason, `describeUpstreams`
+ * lists what it makes of them.
+ */
+export function makeGatewayMetrics(
+    countExcluded: (reason: dispatch.Exclusion) => number,
+    describeUpstreams: () => readonly UpstreamDescription[] = () => [],
+): GatewayMetrics {
     const registry = new promClient.Registry();
     const registers = [registry];
     const counter = <Label extends string>(name: string, help: string, labelNames: readonly Label[]) =>
@@ -46,6 +71,39 @@
         collect: () =>
             Object.values(dispatch.Exclusion).forEach((reason) => excluded.set({ reason }, countExcluded(reason))),
     });
+    const byUpstream = (name: string, help: string, valueOf: (description: UpstreamDescription) => number) => {
+        const gauge = new promClient.Gauge({
+            name,
+            help,
+            labelNames: ["service", "upstream"] as const,
+            registers,
+            collect: () => {
+                gauge.reset();
+                for (const description of describeUpstreams()) {
+                    const { service, upstream } = description;
+                    const value = valueOf(description);
+                    if (Number.isFinite(value)) {
+                        gauge.set({ service, upstream }, value);
+                    }
+                }
+            },
+        });
+    };
+    byUpstream(
+        "citronlead_gateway_upstream_belief",
+        "What all hosts have seen of an upstream: 0 sound, 1 suspected, 2 down.",
+        ({ belief }) => BELIEF_VALUES[belief],
+    );
+    byUpstream(
+        "citronlead_gateway_upstream_report_age_seconds",
+        "Age of the newest report on an upstream, if there is one.",
+        ({ reportAgeMs }) => reportAgeMs / decision.SECOND_MS,
+    );
+    byUpstream(
+        "citronlead_gateway_upstream_slowness",
+        "How long an upstream takes in relation to others of its service.",
+        ({ slowness }) => slowness,
+    );
     return {
         registry,
         requests: counter("citronlead_gateway_requests_total", "Requests by outcome.", ["service", "outcome"]),
--- a/packages/gateway/src/observations.ts
+++ b/packages/gateway/src/observations.ts
@@ -1,4 +1,4 @@
-import type * as decision from "@citronlead/decision";
+import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
@@ -16,6 +16,12 @@
 const MAX_BATCH = 10;
 /** Observations that wait to be sent; beyond it the oldest are dropped, as others tell the same. */
 const MAX_PENDING = 200;
+/** Bound on the batches that a host sends, each to `FAN_OUT` hosts. */
+const SEND_RATE: decision.TokenRate = { burst: 40, perSecond: 5 };
+/** Observations of other hosts that are remembered, so that none goes round. */
+const MAX_SEEN = 5_000;
+/** Time between hosts that the age of an observation does not show. */
+const HOP_MS = 1;
 /** Hosts that probe an upstream at first, and after each further `PROBE_DELAY_MS` without news. */
 const PROBERS = 2;
 const PROBE_DELAY_MS = 150;
@@ -26,6 +32,8 @@
 
 /** An observation as hosts tell it to each other. */
 export interface ToldObservation {
+    /** Tells the observations of one host apart: each is taken in once, however often and late it comes. */
+    readonly id: number;
     readonly incarnation: string;
     readonly state: dispatch.ObservedState;
     readonly observer: string;
@@ -60,8 +68,14 @@
     private sendsAt: decision.Milliseconds = -Infinity;
     private scheduled = false;
     private readonly probed = new Set<string>();
+    private readonly seen = new Map<string, true>();
+    private readonly sends: decision.TokenBucket;
+    /** Later than those of a former process at this address. */
+    private lastId = Date.now();
 
-    constructor(private readonly options: UpstreamObservationsOptions) {}
+    constructor(private readonly options: UpstreamObservationsOptions) {
+        this.sends = new decision.TokenBucket(SEND_RATE, options.clock());
+    }
 
     /** Records how a call that was sent at `sentAt` ended, up to the headers of the response. */
     record(
@@ -99,11 +113,16 @@
             return;
         }
         const known = new Set(hosts());
-        for (const { incarnation, state, observer, ageMs } of told) {
+        for (const { id, incarnation, state, observer, ageMs } of told) {
             const upstream = this.options.pool.find(incarnation);
+            const name = `${observer} ${id}`;
+            if (this.seen.has(name)) {
+                continue;
+            }
+            dispatch.setNewest(this.seen, name, true, MAX_SEEN);
             // A host that is not registered may have left, or be cut off for long.
             if (upstream && observer !== self && known.has(observer)) {
-                this.take({ incarnation, state, observer, observedAt: clock() - ageMs }, upstream);
+                this.take({ id, incarnation, state, observer, observedAt: clock() - ageMs }, upstream);
             }
         }
     }
@@ -118,7 +137,8 @@
         if (!isContact && (readsBacklog() || !reaches(upstream.service))) {
             return;
         }
-        this.take({ incarnation: routing.incarnationOf(upstream), state, observer: self, observedAt }, upstream);
+        const incarnation = routing.incarnationOf(upstream);
+        this.take({ id: ++this.lastId, incarnation, state, observer: self, observedAt }, upstream);
     }
 
     private take(observation: dispatch.Observation, upstream: routing.Upstream): void {
@@ -128,7 +148,12 @@
         const source = observer === self ? "own" : "told";
         if (pass) {
             metrics.observations.inc({ state, source });
-            this.tell(observation);
+            if (state !== dispatch.ObservedState.Broken) {
+                this.tell(observation);
+            }
+            else if (source === "own") {
+                this.tellProbers(observation);
+            }
         }
         if (before !== after && (before === dispatch.Belief.Down || after === dispatch.Belief.Down)) {
             log.decision("upstream believed", {
@@ -147,10 +172,23 @@
             }
         }
         else if (pass) {
-            this.probeIfDue(upstream);
+            this.probeIfDue(upstream, observer);
         }
     }
 
+    /** Connections break at sound upstreams too, so that those that probe are told, and tell the others what they find. */
+    private tellProbers(observation: dispatch.Observation): void {
+        const { clock, hosts, self, send } = this.options;
+        if (this.sends.tryTake(clock())) {
+            const others = hosts().filter((host) => host !== self);
+            send([this.toTold(observation)], dispatch.firstOf(others, observation.incarnation, PROBERS));
+        }
+    }
+
+    private toTold({ observedAt, ...observation }: dispatch.Observation): ToldObservation {
+        return { ...observation, ageMs: Math.max(0, Math.ceil(this.options.clock() - observedAt)) + HOP_MS };
+    }
+
     private tell(observation: dispatch.Observation): void {
         this.pending.push(observation);
         if (this.pending.length > MAX_PENDING) {
@@ -168,11 +206,8 @@
         this.scheduled = false;
         this.sendsAt = clock();
         const others = hosts().filter((host) => host !== self);
-        const batch = this.pending.splice(0, MAX_BATCH).map(({ observedAt, ...observation }) => ({
-            ...observation,
-            ageMs: Math.max(0, Math.round(clock() - observedAt)),
-        }));
-        if (batch.length > 0) {
+        const batch = this.pending.splice(0, MAX_BATCH).map((observation) => this.toTold(observation));
+        if (batch.length > 0 && this.sends.tryTake(clock())) {
             send(batch, dispatch.drawSome(others, FAN_OUT, random));
         }
         const [next] = this.pending.splice(0, 1);
@@ -182,13 +217,15 @@
     }
 
     /** Probes an upstream that is said to be down, if this host is among the few that do, until its state is clear. */
-    private probeIfDue(upstream: routing.Upstream): void {
+    private probeIfDue(upstream: routing.Upstream, observer: string): void {
         const { hosts, scope, self } = this.options;
         const incarnation = routing.incarnationOf(upstream);
         if (this.probed.has(incarnation)) {
             return;
         }
-        const rank = dispatch.rankOf(hosts(), incarnation, self);
+        // The host that saw it says nothing new by a probe, but stands in if the others say nothing.
+        const others = hosts().filter((host) => host !== observer);
+        const rank = observer === self ? PROBERS : dispatch.rankOf(others, incarnation, self);
         if (rank < MAX_PROBERS) {
             this.probed.add(incarnation);
             lifecycle.after(scope, Math.floor(rank / PROBERS) * PROBE_DELAY_MS, () => void this.probe(upstream, rank));
--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -146,6 +146,11 @@
             .filter(({ upstream }) => this.exclusionOf(upstream, now) === reason).length;
     }
 
+    /** All listed upstreams. */
+    list(): routing.Upstream[] {
+        return [...this.byIncarnation.values()];
+    }
+
     /** The listed upstream of an incarnation. */
     find(incarnation: string): routing.Upstream | undefined {
         return this.byIncarnation.get(incarnation);
