--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -170,15 +170,16 @@
             return;
         }
         const former = active?.table.configuration;
+        const change = former && group.isReader ? routing.diffConfigurations(former, configuration) : undefined;
         log.notice("configuration in force", {
             version: configuration.version,
             formerVersion: former?.version,
             routes: configuration.routes.length,
             reader: group.isReader,
             source,
+            toldCharacters: change?.patch.length,
         });
         options.metrics.configurationVersion.set(configuration.version);
-        const change = former && group.isReader ? routing.diffConfigurations(former, configuration) : undefined;
         configurationChange = change && { ...change, digest: routing.digestConfiguration(configuration) };
         configurationTells = CONFIGURATION_TELLS;
         active = next;
--- a/packages/routing/src/changes.ts
+++ b/packages/routing/src/changes.ts
@@ -48,12 +48,8 @@
     });
 }
 
-/** A list of which the entries between the first and the last ones have changed. */
-interface ListPatch {
-    readonly first: number;
-    readonly last: number;
-    readonly entries: readonly unknown[];
-}
+/** A list, as runs of entries of the former one (first, count) and new entries. */
+type ListPatch = readonly (readonly [number, number] | { readonly entry: unknown; })[];
 
 interface ConfigurationPatch {
     readonly lists: Readonly<Record<string, ListPatch>>;
@@ -99,13 +95,8 @@
     return rebuilt(() => {
         const { lists, fields } = JSON.parse(patch) as ConfigurationPatch;
         const next: Record<string, unknown> = { ...former, ...fields };
-        for (const [name, { first, last, entries }] of Object.entries(lists)) {
-            const before = next[name] as readonly unknown[];
-            next[name] = [
-                ...before.slice(0, first),
-                ...entries,
-                ...before.slice(Math.max(first, before.length - last)),
-            ];
+        for (const [name, list] of Object.entries(lists)) {
+            next[name] = applyListPatch(next[name] as readonly unknown[], list);
         }
         const configured = next as unknown as configuration.RoutingConfiguration;
         return digestConfiguration(configured) === digest ? configured : undefined;
@@ -113,20 +104,28 @@
 }
 
 function diffLists(former: readonly unknown[], next: readonly unknown[]): ListPatch | undefined {
-    const [before, after] = [former, next].map((list) => list.map((entry) => JSON.stringify(entry)));
-    if (!before || !after || before.join() === after.join()) {
-        return undefined;
-    }
-    const shorter = Math.min(before.length, after.length);
-    let first = 0;
-    while (first < shorter && before[first] === after[first]) {
-        first++;
-    }
-    let last = 0;
-    while (last < shorter - first && before.at(-1 - last) === after.at(-1 - last)) {
-        last++;
+    const indexes = new Map(former.map((entry, index) => [JSON.stringify(entry), index]));
+    const patch: ([number, number] | { entry: unknown; })[] = [];
+    for (const entry of next) {
+        const index = indexes.get(JSON.stringify(entry));
+        const run = patch.at(-1);
+        if (index === undefined) {
+            patch.push({ entry });
+        }
+        else if (Array.isArray(run) && run[0] + run[1] === index) {
+            run[1]++;
+        }
+        else {
+            patch.push([index, 1]);
+        }
     }
-    return { first, last, entries: next.slice(first, next.length - last) };
+    const [only] = patch;
+    const isSame = patch.length === 1 && Array.isArray(only) && only[0] === 0 && only[1] === former.length;
+    return isSame || (patch.length === 0 && former.length === 0) ? undefined : patch;
+}
+
+function applyListPatch(former: readonly unknown[], patch: ListPatch): unknown[] {
+    return patch.flatMap((part) => "entry" in part ? [part.entry] : former.slice(part[0], part[0] + part[1]));
 }
 
 function toldChange(from: string, patch: unknown): Change | undefined {
--- a/packages/routing/test/changes.test.ts
+++ b/packages/routing/test/changes.test.ts
@@ -74,6 +74,11 @@
                 configuration(9, [...names.slice(0, 20), "other.example", ...names.slice(21)]),
                 configuration(9, ["first.example", ...names]),
                 configuration(9, names.slice(0, -1)),
+                configuration(
+                    9,
+                    names.flatMap((name, index) => index % 9 === 0 ? [`new-${name}`] : index % 7 === 0 ? [] : [name]),
+                ),
+                configuration(9, [...names].reverse()),
                 configuration(9, []),
                 { ...configuration(9, names), limits: { ...before.limits, bodyBytes: 2 } },
                 { ...configuration(9, names), workspaces: [] },
