--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
-import type * as routing from "@citronlead/routing";
+import * as routing from "@citronlead/routing";
 import type * as http from "node:http";
 import * as util from "node:util";
 import type * as contexts from "./context.js";
@@ -23,6 +23,7 @@
 import * as reachabilities from "./relay/reachability.js";
 import * as servers from "./server.js";
 import type * as settings from "./settings.js";
+import * as speeds from "./speeds.js";
 import * as stops from "./stop.js";
 import * as views from "./store/view.js";
 import * as turns from "./turns.js";
@@ -89,6 +90,17 @@
     const gatewayMetrics = metrics.makeGatewayMetrics(
         (reason) => pool.countExcluded(reason, clock()),
         () => pool.count((upstream) => upstreamLimits.warmUps.leftMs(upstream) > 0),
+        () =>
+            pool.list().map((upstream) => {
+                const incarnation = routing.incarnationOf(upstream);
+                return {
+                    upstream: upstream.id,
+                    service: upstream.service,
+                    belief: observed.beliefOf(incarnation, clock()),
+                    reportAgeMs: observed.reportAgeMs(incarnation, clock()),
+                    slowness: pool.healthOf(upstream).expectedSlowness(clock()),
+                };
+            }),
     );
     const identity = { host: settings.host, availabilityZone: settings.availabilityZone, pid: process.pid };
     const log = logs.makeDecisionLog(identity, clock, () => gatewayMetrics.droppedLogLines.inc());
@@ -100,14 +112,17 @@
     const upstreamLimits = new limits.UpstreamLimits(clock, log);
     const self = `${settings.peers.address}:${settings.peers.port}`;
     const observed = new dispatch.ObservedUpstreams(self);
+    const sharedSpeeds = new dispatch.SharedSpeeds();
     const pool = new pools.UpstreamPool(
         (incarnation) => {
             agent.closeIdle(incarnation);
             upstreamLimits.forget(incarnation);
             observed.forget(incarnation);
+            sharedSpeeds.forget(incarnation);
         },
         (incarnation, now) => observed.beliefOf(incarnation, now),
         (upstreams) => upstreamLimits.warmUps.recordListing(upstreams),
+        (incarnation, now) => sharedSpeeds.ratioOf(incarnation, now),
     );
     const quarantine = new quarantines.Quarantine(
         clock,
@@ -157,6 +172,7 @@
         quotaWindowMs: settings.quotaWindowMs,
         onStoreUpdate: storeView.receiveUpdate,
         onObservations: (told) => upstreamObservations.receive(told),
+        onSpeeds: (samples) => engineSpeeds.receive(samples),
         evacuations: storeView.evacuations,
         onEvacuations: storeView.receiveEvacuations,
         onUnread: (reason) => gatewayMetrics.unreadMessages.inc({ reason }),
@@ -193,6 +209,16 @@
             await liveness.probe(context, upstream);
         },
     });
+    const engineSpeeds = new speeds.EngineSpeeds({
+        scope,
+        clock,
+        speeds: sharedSpeeds,
+        pool,
+        self,
+        hosts: storeView.hosts,
+        random,
+        send: peerChannel.sendSpeeds,
+    });
     const context: contexts.GatewayContext = {
         scope,
         settings,
@@ -213,6 +239,7 @@
         limits: upstreamLimits,
         observations: upstreamObservations,
         turns: hostTurns,
+        speeds: engineSpeeds,
         streamVersions,
         reachability,
         relay: new relays.RelayClient(hostAgent),
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -24,6 +24,8 @@
     StoreUpdate = "news",
     /** Tells what hosts have seen of upstreams. */
     Observations = "observed",
+    /** Tells how long engines take. */
+    Speeds = "speeds",
     /** From a host that cannot read the store: asks for the emptied zones. */
     AskEvacuations = "askEvacuations",
     /** Tells which zones are emptied. */
@@ -174,12 +176,22 @@
     zod.object({
         kind: zod.literal(MessageKind.Observations),
         observations: zod.array(zod.object({
+            id: amount,
             incarnation: text,
             state: zod.enum(dispatch.ObservedState),
             observer: text,
             ageMs: amount,
         })).max(MAX_OBSERVATIONS),
     }),
+    zod.object({
+        kind: zod.literal(MessageKind.Speeds),
+        samples: zod.array(zod.object({
+            incarnation: text,
+            kind: zod.enum(dispatch.SpeedKind),
+            unitMs: amount,
+            count: amount,
+        })).max(MAX_OBSERVATIONS),
+    }),
     zod.object({ kind: zod.literal(MessageKind.AskEvacuations) }),
     zod.object({ kind: zod.literal(MessageKind.Evacuations), listing: evacuationsSchema }),
     ...turnMessageSchemas,
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -54,6 +54,8 @@
     readonly broadcastWarmUp: (incarnation: string, leftMs: decision.Milliseconds) => void;
     /** Sends a message about turns. */
     readonly sendTurnMessage: (message: messages.TurnMessage, host: string) => void;
+    /** Tells the given hosts how long engines took. */
+    readonly sendSpeeds: (samples: readonly dispatch.SpeedSamples[], hosts: readonly string[]) => void;
     /** Sends what this host read in the store to the given hosts. */
     readonly sendStoreUpdate: (update: routing.StoreUpdate, hosts: readonly string[]) => void;
 }
@@ -77,6 +79,8 @@
     readonly evacuations: () => routing.EvacuationListing | undefined;
     readonly onEvacuations: (listing: routing.EvacuationListing, from: string) => void;
     readonly onTurnMessage: (message: messages.TurnMessage, from: string) => void;
+    /** Called with how long engines took for other hosts. */
+    readonly onSpeeds?: (samples: readonly dispatch.SpeedSamples[]) => void;
     /** Called for each datagram that is no message that this build knows. */
     readonly onUnread: (reason: messages.UnreadReason) => void;
 }
@@ -180,6 +184,9 @@
             case messages.MessageKind.Contention:
                 options.onTurnMessage(message, `${from.address}:${from.port}`);
                 return;
+            case messages.MessageKind.Speeds:
+                options.onSpeeds?.(message.samples);
+                return;
             case undefined: {
                 const reason = messages.unreadReason(bytes);
                 options.onUnread(reason);
@@ -290,6 +297,8 @@
                 leftMs: Math.max(0, leftMs - delayMs),
             })),
         sendTurnMessage: send,
+        sendSpeeds: (samples, hosts) =>
+            hosts.forEach((host) => send({ kind: messages.MessageKind.Speeds, samples: [...samples] }, host)),
         sendStoreUpdate: (update, hosts) =>
             hosts.forEach((host) => send({ kind: messages.MessageKind.StoreUpdate, news: update }, host)),
         askEvacuations: (hosts) => hosts.forEach((host) => send({ kind: messages.MessageKind.AskEvacuations }, host)),
