--- a/packages/gateway/test/regions.test.ts
+++ b/packages/gateway/test/regions.test.ts
@@ -6,7 +6,7 @@
 import type * as net from "node:net";
 import * as fixtures from "./fixture.js";
 
-const PORT_OFFSET = 4_440;
+const PORT_OFFSET = 4_620;
 const EVENT = "id: 1\ndata: a\n\n";
 const PROMPT = { "prompt-tokens": "500", "output-tokens": "100" };
 
