--- a/packages/gateway/src/upstream/ranking.ts
+++ b/packages/gateway/src/upstream/ranking.ts
@@ -1,6 +1,7 @@
 import * as dispatch from "@citronlead/dispatch";
 import type * as routing from "@citronlead/routing";
 import type * as exchanges from "../exchange.js";
+import * as regions from "../regions.js";
 
 /** Where a request is best sent. */
 export type RankingOptions = Omit<dispatch.PlacementOptions, "random">;
@@ -20,7 +21,7 @@
     const isUp = ({ health }: dispatch.Candidate) => !health.isDown(now);
     const upStages = new Set(candidates.filter(isUp).map(({ upstream }) => upstream.stage));
     const eligible = candidates.filter((candidate) =>
-        exchange.mayUse(candidate.upstream) && isEligible(candidate.upstream)
+        regions.mayUse(exchange, candidate.upstream) && isEligible(candidate.upstream)
         && (isUp(candidate) || !upStages.has(candidate.upstream.stage))
     );
     return dispatch.rankCandidates(eligible, { ...options, random: context.random }, now);
