Large bodies held for callers: refused before they come, dead buffers collected, a quarter of the memory

Cause: "many large bodies at once" (platform/test/sendahead; 300 clients, bodies of 512 KiB, 160 MB) took 158 MiB with a share of 0.5 and 171 MiB (failed) with 0.35: what is held is bounded, but V8 lets dead buffers grow by tens of megabytes beyond it.

Change: a body with a length takes its memory before it is read; garbage is collected after half of what may be held has passed (gateway/src/garbage.ts); share 0.35 to 0.25. Crowd and bounds as before.

--- a/packages/dispatch/src/callerbounds.ts
+++ b/packages/dispatch/src/callerbounds.ts
@@ -11,6 +11,8 @@
 export interface CallerBounds {
     /** All that is held for them: heads, bodies, queued requests, and answers that are not read. */
     readonly heldBytes: number;
+    /** Bodies that were let go and may wait to be collected as garbage. */
+    readonly garbageBytes: number;
     /** Connections of callers. */
     readonly callerConnections: number;
     /** Connections of other hosts. */
@@ -22,8 +24,10 @@
 const MEGABYTE = 1_048_576;
 /** Memory of a process that serves nobody, with what the collector of garbage has not freed. */
 const OWN_BYTES = 76 * MEGABYTE;
-/** Share of the rest that is held for callers: a body takes up to twice its size until the collector has freed its pieces. */
-const HELD_SHARE = 0.35;
+/** Share of the rest that is held for callers: what is dead and not yet freed may take as much again, and its holes the rest. */
+const HELD_SHARE = 0.25;
+/** Dead bodies before garbage is collected, as a share of what is held. */
+const GARBAGE_SHARE = 0.5;
 const MIN_HELD_BYTES = 8 * MEGABYTE;
 /** A part of the heap of the process. */
 const MAX_HELD_BYTES = 64 * MEGABYTE;
@@ -39,8 +43,10 @@
 export function boundsOf({ memoryBytes, descriptors }: MachineLimits): CallerBounds {
     const sockets = Math.max(0, descriptors - RESERVED_DESCRIPTORS);
     const share = (part: number) => Math.max(MIN_CONNECTIONS, Math.floor(part * sockets));
+    const heldBytes = Math.min(MAX_HELD_BYTES, Math.max(MIN_HELD_BYTES, HELD_SHARE * (memoryBytes - OWN_BYTES)));
     return {
-        heldBytes: Math.min(MAX_HELD_BYTES, Math.max(MIN_HELD_BYTES, HELD_SHARE * (memoryBytes - OWN_BYTES))),
+        heldBytes,
+        garbageBytes: GARBAGE_SHARE * heldBytes,
         callerConnections: share(CALLER_SHARE),
         hostConnections: share(HOST_SHARE),
         probeConnections: share(PROBE_SHARE),
--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -4,6 +4,7 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as http from "node:http";
 import * as net from "node:net";
+import type * as garbage from "./garbage.js";
 import * as intakes from "./intake.js";
 
 /** Number of requests that may wait on a connection for the response to an earlier one. */
@@ -62,6 +63,7 @@
     readonly maxConnections: number;
     /** The memory for all connections of this process. */
     readonly memory: bodies.HeldMemory;
+    readonly bodyGarbage: garbage.BodyGarbage;
     readonly times: () => dispatch.PeerTimes;
 }
 
@@ -69,7 +71,7 @@
 class RequestMemory implements bodies.Memory {
     private heldBytes = 0;
 
-    constructor(private readonly holder: bodies.Holder) {}
+    constructor(private readonly holder: bodies.Holder, private readonly bodyGarbage: garbage.BodyGarbage) {}
 
     tryTake(bytes: number): boolean {
         const taken = this.holder.tryTake(bytes);
@@ -80,6 +82,7 @@
     release(bytes: number): void {
         this.holder.release(bytes);
         this.heldBytes -= bytes;
+        this.bodyGarbage.add(bytes);
     }
 
     releaseAll(): void {
@@ -173,6 +176,7 @@
             holder,
             intake: new intakes.RequestIntake(socket, {
                 acceptsMore: () => connection.dropped < MAX_DROPPED,
+                onArrival: (bytes) => this.limits.bodyGarbage.add(bytes),
                 onHeadBytes: (bytes) => this.takeOrClose(connection, HEAD_FACTOR * bytes),
             }),
             progress: new dispatch.ProgressCheck(CHECK_PERIOD_MS),
@@ -261,7 +265,7 @@
         connection.used = true;
         // The bytes of the head have been taken as they arrived; from now on they are the request's.
         connection.holder.release(HEAD_FACTOR * headBytes);
-        const memory = new RequestMemory(connection.holder);
+        const memory = new RequestMemory(connection.holder, this.limits.bodyGarbage);
         if (!memory.tryTake(REQUEST_BYTES + HEAD_FACTOR * headBytes)) {
             this.close(connection, dispatch.CloseReason.HeldMost);
             return;
--- a/packages/gateway/src/endpoints.ts
+++ b/packages/gateway/src/endpoints.ts
@@ -11,7 +11,7 @@
 const TIMES: dispatch.PeerTimes = { headMs: 3 * decision.SECOND_MS, idleMs: 15 * decision.SECOND_MS };
 
 /** Bounds of an endpoint's connections. */
-export type EndpointBounds = Pick<connections.ConnectionLimits, "maxConnections" | "memory">;
+export type EndpointBounds = Pick<connections.ConnectionLimits, "maxConnections" | "memory" | "bodyGarbage">;
 
 /** Serves the load balancer's readiness probe: 200 if the host accepts connections, otherwise 503. */
 export function openReadinessServer(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import type * as contexts from "./context.js";
 import * as endpoints from "./endpoints.js";
 import * as exchanges from "./exchange.js";
+import * as garbage from "./garbage.js";
 import * as limits from "./limits.js";
 import * as logs from "./log.js";
 import * as metrics from "./metrics.js";
@@ -170,7 +171,8 @@
     const bounds = dispatch.boundsOf(settings.machine);
     const memory = new bodies.HeldMemory(bounds.heldBytes);
     gatewayMetrics.watchHeldBytes(() => memory.heldBytes);
-    const boundedTo = (maxConnections: number) => ({ maxConnections, memory });
+    const bodyGarbage = new garbage.BodyGarbage(bounds.garbageBytes);
+    const boundedTo = (maxConnections: number) => ({ maxConnections, memory, bodyGarbage });
     const callers = await servers.openCallerServer(
         context,
         models,
--- a/packages/gateway/src/intake.ts
+++ b/packages/gateway/src/intake.ts
@@ -11,6 +11,8 @@
 export interface IntakeListener {
     /** Whether the requests in further bytes are taken; what arrives is dropped otherwise. */
     readonly acceptsMore: () => boolean;
+    /** Called with the number of bytes that have arrived. */
+    readonly onArrival: (bytes: number) => void;
     /** Called with the number of bytes of a head before they are parsed. */
     readonly onHeadBytes: (bytes: number) => void;
 }
@@ -56,6 +58,7 @@
     }
 
     private push(bytes: Buffer): void {
+        this.listener.onArrival(bytes.length);
         this.rest = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
         this.parseRest();
     }
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -61,7 +61,7 @@
     context: contexts.GatewayContext,
     models: handlers.ModelRequestHandler,
     listen: settings.ListenAddress,
-    bounds: Pick<connections.ConnectionLimits, "maxConnections" | "memory">,
+    bounds: Pick<connections.ConnectionLimits, "maxConnections" | "memory" | "bodyGarbage">,
     relay?: RelayServerOptions,
 ): Promise<CallerServer> {
     const server = http.createServer({
@@ -278,8 +278,24 @@
 ): Promise<Buffer | undefined | BodyProblem> {
     const hasBody = request.headers["content-length"] !== undefined
         || request.headers["transfer-encoding"] !== undefined;
+    const expectedBytes = Math.min(limitBytes, Number(request.headers["content-length"] ?? 0));
+    // A body that will not fit is refused before its bytes come.
+    if (!memory.tryTake(expectedBytes)) {
+        // With a listener, so that Node does not read and drop the body once the request is answered.
+        request.on("data", () => undefined).pause();
+        return Promise.resolve(BodyProblem.NoMemory);
+    }
+    let reservedBytes = expectedBytes;
     return new Promise((resolve) => {
-        const collector = new bodies.BodyCollector(limitBytes, memory);
+        const collector = new bodies.BodyCollector(limitBytes, {
+            tryTake: (bytes) => {
+                const reserved = Math.min(reservedBytes, bytes);
+                const taken = memory.tryTake(bytes - reserved);
+                reservedBytes -= taken ? reserved : 0;
+                return taken;
+            },
+            release: memory.release.bind(memory),
+        });
         let finished = false;
         const finish = (result: Buffer | undefined | BodyProblem) => {
             if (!finished) {
@@ -287,6 +303,7 @@
                 clearTimeout(timer);
                 forgetStop();
                 collector.discard();
+                memory.release(reservedBytes);
                 resolve(result);
             }
         };
@@ -306,9 +323,10 @@
             }
         });
         request.on("end", () => {
-            const body = hasBody ? collector.finish() : undefined;
+            const body = hasBody && !finished ? collector.finish() : undefined;
             // The pieces were counted with more; the body is held until the response has been sent.
-            finish(finished || memory.tryTake(body?.length ?? 0) ? body : BodyProblem.NoMemory);
+            const isHeld = memory.tryTake(body?.length ?? 0);
+            finish(isHeld ? body : BodyProblem.NoMemory);
         });
         request.on("error", () => finish(BodyProblem.Broken));
         request.on("close", () => finish(BodyProblem.Broken));
--- a/packages/gateway/test/intake.test.ts
+++ b/packages/gateway/test/intake.test.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import * as connections from "../src/connections.js";
+import * as garbage from "../src/garbage.js";
 
 const MEGABYTE = 1_048_576;
 /** Bodies that hold what ends a head, or looks like a request. */
@@ -30,6 +31,7 @@
         const limits = {
             maxConnections: 4,
             memory: new bodies.HeldMemory(MEGABYTE),
+            bodyGarbage: new garbage.BodyGarbage(MEGABYTE),
             times: () => ({ headMs: 600, idleMs: 60_000 }),
         };
         const listener = { serve, onDropped: () => undefined, onClosed };
