--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -114,17 +114,18 @@
     const self = `${settings.peers.address}:${settings.peers.port}`;
     const observed = new dispatch.ObservedUpstreams(self);
     const sharedSpeeds = new dispatch.SharedSpeeds();
-    const pool = new pools.UpstreamPool(
-        (incarnation) => {
+    const pool = new pools.UpstreamPool({
+        onIncarnationGone: (incarnation) => {
             agent.closeIdle(incarnation);
             upstreamLimits.forget(incarnation);
             observed.forget(incarnation);
             sharedSpeeds.forget(incarnation);
         },
-        (incarnation, now) => observed.beliefOf(incarnation, now),
-        (upstreams) => upstreamLimits.warmUps.recordListing(upstreams),
-        (incarnation, now) => sharedSpeeds.ratioOf(incarnation, now),
-    );
+        onListed: (upstreams) => upstreamLimits.warmUps.recordListing(upstreams),
+        onReturn: (upstream, at) => upstreamLimits.warmUps.recordReturn(upstream, at),
+        beliefOf: (incarnation, now) => observed.beliefOf(incarnation, now),
+        ratioOf: (incarnation, now) => sharedSpeeds.ratioOf(incarnation, now),
+    });
     const quarantine = new quarantines.Quarantine(
         clock,
         log,
--- a/packages/gateway/src/store/evacuations.ts
+++ b/packages/gateway/src/store/evacuations.ts
@@ -30,7 +30,7 @@
         if (this.known === before) {
             return false;
         }
-        this.pool.setEvacuations(this.known);
+        this.pool.setEvacuations(this.known, this.clock());
         return this.logChanges(before, this.known, source);
     }
 
--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -2,6 +2,18 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
 
+/** What a pool asks and tells about its upstreams. */
+export interface PoolListener {
+    readonly onIncarnationGone?: (incarnation: string) => void;
+    readonly onListed?: (upstreams: readonly routing.Upstream[]) => void;
+    /** Called for each upstream of a zone that is taken back, with the time at which sends to it begin. */
+    readonly onReturn?: (upstream: routing.Upstream, at: decision.Milliseconds) => void;
+    /** What the observations of all hosts on an incarnation amount to. */
+    readonly beliefOf?: dispatch.ObservedUpstreams["beliefOf"];
+    /** How long an incarnation takes in relation to others. */
+    readonly ratioOf?: dispatch.SharedSpeeds["ratioOf"];
+}
+
 /** The upstreams in the directory, with the health of each incarnation as this host has observed it. */
 export class UpstreamPool {
     private readonly health = new Map<string, dispatch.UpstreamHealth>();
@@ -11,16 +23,7 @@
     private evacuations: routing.Evacuations = routing.noEvacuations;
     private onUpdate: () => void = () => undefined;
 
-    /**
-     * `beliefOf` says what the observations of all hosts on an incarnation amount to, `ratioOf` how long it takes in
-     * relation to others.
-     */
-    constructor(
-        private readonly onIncarnationGone: (incarnation: string) => void,
-        private readonly beliefOf: dispatch.ObservedUpstreams["beliefOf"] = () => dispatch.Belief.Sound,
-        private readonly onListed: (upstreams: readonly routing.Upstream[]) => void = () => undefined,
-        private readonly ratioOf: dispatch.SharedSpeeds["ratioOf"] = () => undefined,
-    ) {}
+    constructor(private readonly listener: PoolListener = {}) {}
 
     /** Sets what is called after each listing. */
     setUpdateListener(listener: () => void): void {
@@ -28,8 +31,16 @@
     }
 
     /** Sets which availability zones are emptied. */
-    setEvacuations(evacuations: routing.Evacuations): void {
+    setEvacuations(evacuations: routing.Evacuations, now: decision.Milliseconds): void {
+        const former = this.evacuations;
         this.evacuations = evacuations;
+        for (const { upstream } of this.directory.entries.values()) {
+            const zone = upstream.availabilityZone;
+            const endsAt = evacuations.zones.has(zone) ? evacuations.keptUntil.get(zone) : now;
+            if (former.zones.has(zone) && endsAt !== undefined) {
+                this.listener.onReturn?.(upstream, endsAt);
+            }
+        }
     }
 
     /** The availability zones to which nothing new is sent now. */
@@ -60,7 +71,7 @@
         const former = this.directory;
         this.directory = directory;
         const listed = new Map<string, routing.Upstream>();
-        this.onListed([...directory.entries.values()].map(({ upstream }) => upstream));
+        this.listener.onListed?.([...directory.entries.values()].map(({ upstream }) => upstream));
         for (const { upstream } of directory.entries.values()) {
             const incarnation = routing.incarnationOf(upstream);
             listed.set(incarnation, upstream);
@@ -74,7 +85,7 @@
         for (const [incarnation, health] of this.health) {
             if (!listed.has(incarnation) && health.inFlight === 0) {
                 this.health.delete(incarnation);
-                this.onIncarnationGone(incarnation);
+                this.listener.onIncarnationGone?.(incarnation);
             }
         }
         for (const incarnation of this.gates.keys()) {
@@ -174,8 +185,8 @@
         const incarnation = routing.incarnationOf(upstream);
         const known = this.health.get(incarnation)
             ?? new dispatch.UpstreamHealth(
-                (now) => this.beliefOf(incarnation, now),
-                (now) => this.ratioOf(incarnation, now),
+                (now) => this.listener.beliefOf?.(incarnation, now) ?? dispatch.Belief.Sound,
+                (now) => this.listener.ratioOf?.(incarnation, now),
             );
         this.health.set(incarnation, known);
         return known;
--- a/packages/gateway/src/warmup.ts
+++ b/packages/gateway/src/warmup.ts
@@ -75,9 +75,9 @@
         }
     }
 
-    /** Records that nothing was sent to an upstream for a time in which it may have turned cold. */
-    recordReturn(upstream: routing.Upstream): void {
-        this.warmUps.recordReturn(routing.incarnationOf(upstream), this.clock());
+    /** Records that nothing is sent to an upstream up to a time, by which it may have turned cold. */
+    recordReturn(upstream: routing.Upstream, at: decision.Milliseconds): void {
+        this.warmUps.recordReturn(routing.incarnationOf(upstream), at);
         this.logBelief(upstream);
     }
 
--- a/packages/gateway/test/observationspread.test.ts
+++ b/packages/gateway/test/observationspread.test.ts
@@ -48,7 +48,7 @@
         runs = true;
         for (const self of hosts) {
             const view = new dispatch.ObservedUpstreams(self);
-            const pool = new pools.UpstreamPool(() => undefined);
+            const pool = new pools.UpstreamPool();
             const timing = directories.directoryTiming(1_000);
             pool.update(routing.applyListing(routing.emptyDirectory, [upstream], timing, 0, 0));
             views.set(self, view);
--- a/packages/gateway/test/stages.test.ts
+++ b/packages/gateway/test/stages.test.ts
@@ -25,7 +25,7 @@
                 response.writeHead(202).end();
             };
         }
-        const pool = new pools.UpstreamPool(() => undefined);
+        const pool = new pools.UpstreamPool();
         const upstreams = fixture.standIns.map(({ upstream }) => upstream);
         pool.update(routing.applyListing(routing.emptyDirectory, upstreams, TIMING, 0, 0));
         const agent = new agents.UpstreamAgent(() => undefined);
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -25,7 +25,7 @@
     readonly published: routing.StoreUpdate[] = [];
     /** The hosts that were asked for the emptied zones, each time. */
     readonly asked: (readonly string[])[] = [];
-    readonly pool = new pools.UpstreamPool(() => undefined);
+    readonly pool = new pools.UpstreamPool();
     readonly view: views.StoreView;
     listings = 0;
     configurationReads = 0;
