--- a/packages/dispatch/src/turns.ts
+++ b/packages/dispatch/src/turns.ts
@@ -203,7 +203,9 @@
                 continue;
             }
             const waitMs = this.expectedWaitMs(candidate, start, now);
-            if (waitMs > this.patienceMs(candidate, waiter, now)) {
+            const isTooLate = waitMs > this.patienceMs(candidate, waiter, now)
+                && !this.mayWaitLate(candidate, waiter, start, now);
+            if (isTooLate) {
                 if (!candidate.isBeyondShare) {
                     this.refusedWithinShareAt.set(candidate.urgency, now);
                 }
@@ -276,11 +278,24 @@
     private patienceMs({ late }: Candidate, waiter: Waiter, now: decision.Milliseconds): decision.Milliseconds {
         const { firstResultDelayMs, maxLateWaitMs } = this.options;
         const { targetAt, deadlineAt } = waiter.request;
-        const lastStart = late || waiter.promised ? waiter.askedAt + maxLateWaitMs : targetAt - firstResultDelayMs;
+        const lastStart = late || waiter.promised
+            ? Math.max(waiter.askedAt, targetAt - firstResultDelayMs) + maxLateWaitMs
+            : targetAt - firstResultDelayMs;
         const slackMs = waiter.askedAt < now && !late ? FORECAST_SLACK_MS : 0;
         return Math.min(lastStart + slackMs, deadlineAt - firstResultDelayMs) - now;
     }
 
+    /** Whether a request that has waited so far, and can no longer be on time, may still be served late. */
+    private mayWaitLate(
+        candidate: Candidate,
+        waiter: Waiter,
+        start: rooms.Start | undefined,
+        now: decision.Milliseconds,
+    ): boolean {
+        const late = { ...candidate, late: true };
+        return now > waiter.askedAt && this.expectedWaitMs(late, start, now) <= this.patienceMs(late, waiter, now);
+    }
+
     private offer(waiter: Waiter, place: string, now: decision.Milliseconds): turns.AddressedTurn {
         const { request } = waiter;
         const { id, amount, durationMs, urgency, workspace, workspaceWeight } = request;
