Turns: only for services whose requests differ in urgency

Change: the configuration decides (routing.servicesWithUrgencies), in place of a least number of hosts.

--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -87,10 +87,14 @@
     return result ?? waitInQueue(exchange, queue, isEligible);
 }
 
-/** Whether the engines can be shared out by turns: they grant reservations, and the request may run at each of them. */
+/**
+ * Whether the engines are shared out by turns: requests differ in urgency, the engines grant reservations, and the request may
+ * run at each of them.
+ */
 function mayTakeTurns({ context, service }: exchanges.Exchange, isEligible: EngineFilter): boolean {
-    const engine = context.storeView.activeConfiguration()?.table.serviceByName.get(service)?.engine;
-    return engine?.maxReservationMs !== undefined
+    const table = context.storeView.activeConfiguration()?.table;
+    return table?.servicesWithUrgencies.has(service) === true
+        && table.serviceByName.get(service)?.engine?.maxReservationMs !== undefined
         && context.pool.candidates(service, context.clock())
             .every(({ upstream }) => !canDecode(upstream) || isEligible(upstream));
 }
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -4,8 +4,6 @@
 import * as messages from "./messages.js";
 import * as turnowners from "./turnowner.js";
 
-/** Number of hosts from which on a common order is kept: with few, each sees a good part of the waiters itself. */
-const MIN_HOSTS = 16;
 /** Time after which an owner that has not answered is asked again: the latency between hosts is about a millisecond. */
 const ASK_RETRY_MS = 20;
 /** Number of times that an owner is asked before this host goes on without it. */
@@ -197,7 +195,7 @@
 
     private ownerFor(service: string): string | undefined {
         const hosts = this.context.storeView.hosts();
-        const owner = hosts.length < MIN_HOSTS ? undefined : dispatch.ownerOf(hosts, service);
+        const owner = dispatch.ownerOf(hosts, service);
         const isAsked = owner !== undefined && this.context.clock() >= (this.backoffUntil.get(owner) ?? 0);
         return isAsked ? owner : undefined;
     }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./readers.js";
 export * from "./table.js";
 export * from "./upstream.js";
+export * from "./urgency.js";
--- a/packages/routing/src/table.ts
+++ b/packages/routing/src/table.ts
@@ -1,4 +1,5 @@
 import type * as configuration from "./configuration.js";
+import * as urgency from "./urgency.js";
 
 /** A configuration with indexes for request lookup. */
 export interface RouteTable {
@@ -6,6 +7,7 @@
     readonly routesByHostName: ReadonlyMap<string, readonly configuration.Route[]>;
     readonly workspaceByKey: ReadonlyMap<string, configuration.Workspace>;
     readonly serviceByName: ReadonlyMap<string, configuration.Service>;
+    readonly servicesWithUrgencies: ReadonlySet<string>;
 }
 
 export function makeRouteTable(source: configuration.RoutingConfiguration): RouteTable {
@@ -27,6 +29,7 @@
         routesByHostName,
         workspaceByKey,
         serviceByName: new Map(source.services.map((service) => [service.name, service])),
+        servicesWithUrgencies: urgency.servicesWithUrgencies(source),
     };
 }
 
