Between hosts: what the store holds is taken from registered hosts only

Updates carry changes of the configuration and of the listing since this build, and emptied zones; before, they made the receiver read the store. Whoever reaches the port could have written routes, keys and upstreams. Found by reading. Now other senders' updates are stripped to their versions, and their emptied zones are passed over. Test: 'tell what the store holds only if they come from a registered host'; peers, betweenhosts, evacuations, store: 31 passing.

--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -1,7 +1,7 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
-import type * as routing from "@citronlead/routing";
+import * as routing from "@citronlead/routing";
 import * as dgram from "node:dgram";
 import * as background from "./background.js";
 import type * as limits from "./limits.js";
@@ -124,8 +124,11 @@
         }
     };
     socket.on("error", (error) => log.notice("peer socket failed", { reason: error.message }));
+    // Who is not registered may reach the port, and must not say what the store holds.
+    const isHost = (sender: string) => options.hosts().includes(sender);
     const receive = (bytes: Buffer, from: dgram.RemoteInfo) => {
         const message = messages.parseMessage(bytes);
+        const sender = `${from.address}:${from.port}`;
         switch (message?.kind) {
             case messages.MessageKind.Charge: {
                 const owned = ownedQuotas[message.ledger];
@@ -158,21 +161,22 @@
             case messages.MessageKind.Cleared:
                 options.quarantine.receiveCleared(message.fingerprints);
                 return;
-            case messages.MessageKind.StoreUpdate:
-                options.onStoreUpdate(
-                    { ...message.news, configuration: message.news.configuration },
-                    from.address,
-                );
+            case messages.MessageKind.StoreUpdate: {
+                const update = { ...message.news, configuration: message.news.configuration };
+                options.onStoreUpdate(isHost(sender) ? update : routing.withoutContents(update), sender);
                 return;
+            }
             case messages.MessageKind.AskEvacuations: {
                 const listing = options.evacuations();
                 if (listing) {
-                    send({ kind: messages.MessageKind.Evacuations, listing }, `${from.address}:${from.port}`);
+                    send({ kind: messages.MessageKind.Evacuations, listing }, sender);
                 }
                 return;
             }
             case messages.MessageKind.Evacuations:
-                options.onEvacuations(message.listing, from.address);
+                if (isHost(sender)) {
+                    options.onEvacuations(message.listing, sender);
+                }
                 return;
             case messages.MessageKind.Observations:
                 options.onObservations?.(message.observations);
@@ -182,7 +186,7 @@
             case messages.MessageKind.TurnReturned:
             case messages.MessageKind.Runs:
             case messages.MessageKind.Contention:
-                options.onTurnMessage(message, `${from.address}:${from.port}`);
+                options.onTurnMessage(message, sender);
                 return;
             case messages.MessageKind.Speeds:
                 options.onSpeeds?.(message.samples);
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -1,5 +1,6 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as lifecycle from "@citronlead/lifecycle";
+import type * as routing from "@citronlead/routing";
 import * as testing from "@citronlead/testing";
 import * as chai from "chai";
 import * as dgram from "node:dgram";
@@ -28,6 +29,8 @@
     let scope: lifecycle.Scope;
     let quarantine: RecordingQuarantine;
     let sender: peers.Peers;
+    let updates: routing.StoreUpdate[];
+    let listings: routing.EvacuationListing[];
 
     const log = logs.makeDecisionLog({}, clock, () => undefined);
     const hosts = [port, port + 1].map((each) => `127.0.0.1:${each}`);
@@ -43,15 +46,17 @@
             quotaWindowMs: 8_000,
             quarantine,
             limits: new limits.UpstreamLimits(clock, log),
-            onStoreUpdate: () => undefined,
+            onStoreUpdate: (update) => updates.push(update),
             evacuations: () => undefined,
-            onEvacuations: () => undefined,
+            onEvacuations: (listing) => listings.push(listing),
             onTurnMessage: () => undefined,
             onUnread: () => undefined,
         });
 
     beforeEach(async () => {
         scope = new lifecycle.Scope("test");
+        updates = [];
+        listings = [];
         quarantine = new RecordingQuarantine(clock, log, () => 0);
         sender = await open(0);
         await open(1);
@@ -110,4 +115,31 @@
             ranMs: 0,
         });
     });
+
+    it("tell what the store holds only if they come from a registered host", async () => {
+        const stranger = dgram.createSocket("udp4");
+        scope.defer(() => new Promise((resolve) => stranger.close(resolve)));
+        const listing = { era: 1, revision: 5, zones: [{ zone: "a", revision: 5 }] };
+        const change = { from: "d", patch: "[]" };
+        const news = { era: 1, revision: 5, upstreams: "d", ageMs: 0, configuration: 7 };
+        const told = {
+            ...news,
+            upstreamsChange: change,
+            configurationChange: { ...change, digest: "d" },
+            evacuations: listing,
+        };
+        for (const message of [{ kind: "evacuations", listing }, { kind: "news", news: told }]) {
+            stranger.send(JSON.stringify(message), port + 1, "127.0.0.1");
+        }
+        for (let tries = 0; tries < 100 && updates.length < 1; tries++) {
+            await lifecycle.pause(scope, 20);
+        }
+        chai.expect(JSON.parse(JSON.stringify(updates))).to.deep.equal([news]);
+        chai.expect(listings).to.deep.equal([]);
+        sender.sendStoreUpdate(told, hosts.slice(1));
+        for (let tries = 0; tries < 100 && updates.length < 2; tries++) {
+            await lifecycle.pause(scope, 20);
+        }
+        chai.expect(updates[1]).to.deep.equal(told);
+    });
 });
--- a/packages/routing/src/readers.ts
+++ b/packages/routing/src/readers.ts
@@ -57,6 +57,11 @@
     readonly evacuations?: evacuations.EvacuationListing | undefined;
 }
 
+/** What an update says of versions, without what it holds of the store itself: news of a sender that is not known as a host. */
+export function withoutContents(update: StoreUpdate): StoreUpdate {
+    return { ...update, upstreamsChange: undefined, configurationChange: undefined, evacuations: undefined };
+}
+
 /** Identifies a listing of upstreams. */
 export interface ListingVersion {
     /** Rises by one each time the store comes back from a copy. Its revisions go back then, and are given out again. */
