--- a/packages/routing/src/table.ts
+++ b/packages/routing/src/table.ts
@@ -29,7 +29,7 @@
         routesByHostName,
         workspaceByKey,
         serviceByName: new Map(source.services.map((service) => [service.name, service])),
-        servicesWithUrgencies: urgency.servicesWithUrgencies(source),
+        servicesWithUrgencies: urgency.servicesWithUrgencies(source.routes),
     };
 }
 
--- a/packages/routing/src/urgency.ts
+++ b/packages/routing/src/urgency.ts
@@ -1,20 +1,16 @@
 import type * as configuration from "./configuration.js";
 
 /**
- * The services whose requests may differ in urgency: by the priorities of workspaces, or by those of their routes where workspaces
- * are alike. The others have nothing to decide between but times and sizes.
+ * The services whose requests compete by kind: their generative routes have several priorities. The others have little to decide
+ * between but times and sizes.
  */
-export function servicesWithUrgencies(
-    { routes, workspaces }: Pick<configuration.RoutingConfiguration, "routes" | "workspaces">,
-): ReadonlySet<string> {
+export function servicesWithUrgencies(routes: readonly configuration.Route[]): ReadonlySet<string> {
     const prioritiesByService = new Map<string, Set<number>>();
-    for (const { priority, targets } of routes) {
-        for (const { service } of targets) {
+    for (const { generative, priority, targets } of routes) {
+        for (const { service } of generative ? targets : []) {
             const priorities = prioritiesByService.get(service) ?? new Set();
             prioritiesByService.set(service, priorities.add(priority));
         }
     }
-    const workspacesDiffer = new Set((workspaces ?? []).map(({ priority }) => priority)).size > 1;
-    const services = [...prioritiesByService].filter(([, priorities]) => workspacesDiffer || priorities.size > 1);
-    return new Set(services.map(([service]) => service));
+    return new Set([...prioritiesByService].filter(([, { size }]) => size > 1).map(([service]) => service));
 }
