Evidence: steps, metrics and a line tell on what "not run" rests

A step that is no success has the basis, the connection and its use, how long after the request was written the outcome came, and bytes written although it counts as not sent. Steps with a 2xx answer are as long as before.

--- /dev/null
+++ b/packages/gateway/src/evidence.ts
@@ -0,0 +1,115 @@
+import type * as callrecords from "./callrecord.js";
+import type * as contexts from "./context.js";
+import type * as metrics from "./metrics.js";
+import * as calls from "./upstream/call.js";
+
+/** On what it rests that a send did not run its request, strongest first. */
+export enum Basis {
+    /** No send was made. */
+    NothingSent = "nothingSent",
+    /** The connection was never established. */
+    Unconnected = "unconnected",
+    /** Another upstream at the address answered. */
+    WrongUpstream = "wrongUpstream",
+    /** The upstream's answer says that it was not run. */
+    Marked = "marked",
+    /** Another host's refusal. */
+    HostRefusal = "hostRefusal",
+    /** Nothing: the send may have run it. */
+    Unproved = "unproved",
+}
+
+/** Statuses that tell a caller that its request was not run and never will be. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Whether a final status promises that the request was not run. */
+export function promisesNotRun(status: number): boolean {
+    return PROMISING_STATUSES.has(status);
+}
+
+/** How a send ended, beside its result; without an outcome if it is under way when its request ends. */
+export interface SendEvidence {
+    readonly basis: Basis;
+    readonly outcome?: calls.CallOutcome;
+}
+
+/** Name of calls that read a prompt and do not run the request. */
+const PREFILL_CALL = "prefill";
+
+/** What the outcomes of the sends of one request rest on. */
+export class EvidenceOfSends {
+    private readonly bases: Basis[] = [];
+
+    constructor(
+        private readonly kind: string,
+        private readonly metrics: Pick<metrics.GatewayMetrics, "resends">,
+    ) {}
+
+    /** Number of sends that may run the request. */
+    get sends(): number {
+        return this.bases.length;
+    }
+
+    /** The weakest of what the sends rest on. */
+    get weakest(): Basis {
+        const strength = Object.values(Basis);
+        return strength[Math.max(0, ...this.bases.map((basis) => strength.indexOf(basis)))] ?? Basis.NothingSent;
+    }
+
+    /** Takes in a call, which is no send without evidence, and counts one that follows others. Returns what is logged. */
+    record(call: string, evidence: SendEvidence | undefined): callrecords.CallEvidence {
+        if (!evidence) {
+            return {};
+        }
+        if (call !== PREFILL_CALL) {
+            if (this.bases.length > 0) {
+                this.metrics.resends.inc({ call, kind: this.kind, basis: this.weakest });
+            }
+            this.bases.push(evidence.basis);
+        }
+        return describe(evidence);
+    }
+}
+
+/** What is logged of a send's evidence. Nothing of a success, to which it adds nothing. */
+function describe({ basis, outcome }: SendEvidence): callrecords.CallEvidence {
+    const responded = outcome?.progress === calls.CallProgress.Responded;
+    if (!outcome?.trace || (responded && (outcome.response.statusCode ?? 0) < 300)) {
+        return {};
+    }
+    const { connection, use, answeredMs, writtenBytes } = outcome.trace;
+    return {
+        ...(basis === Basis.Unproved ? {} : { basis }),
+        ...(connection > 0 ? { connection } : {}),
+        ...(use > 1 ? { use } : {}),
+        ...(answeredMs === undefined ? {} : { answeredMs }),
+        ...(outcome.progress === calls.CallProgress.NotSent && writtenBytes > 0 ? { writtenBytes } : {}),
+    };
+}
+
+/** Logs and counts an answer that belonged to another call than the one whose connection it came on. */
+export function reportForeignAnswer(
+    context: contexts.GatewayContext,
+    upstream: string,
+    call: string,
+    requestId: string | undefined,
+    outcome: calls.CallOutcome,
+): void {
+    if (outcome.progress === calls.CallProgress.Responded || !outcome.foreign) {
+        return;
+    }
+    const { status, headers } = outcome.foreign;
+    const answer = context.wireFormat.parseResponse(headers);
+    context.metrics.foreignAnswers.inc({ call });
+    context.log.decision("answer of another call", {
+        upstream,
+        call,
+        requestId,
+        answeredRequestId: answer.requestId,
+        status,
+        notRun: answer.notRun || undefined,
+        connection: outcome.trace?.connection,
+        use: outcome.trace?.use,
+        answeredMs: outcome.trace?.answeredMs,
+    }, true);
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -4,6 +4,7 @@
 import type * as http from "node:http";
 import type * as callrecords from "./callrecord.js";
 import type * as contexts from "./context.js";
+import * as evidences from "./evidence.js";
 import * as envelopes from "./relay/envelope.js";
 import type * as wires from "./wire.js";
 
@@ -78,6 +79,7 @@
     private finished = false;
     private callInFlight: callrecords.CallRecord | undefined;
     private sent = false;
+    readonly evidence: evidences.EvidenceOfSends;
     private unsentCallback: (() => void) | undefined;
     /** Whether an upstream may have run the request. */
     mayHaveRun = false;
@@ -111,6 +113,7 @@
         startedAt: decision.Milliseconds,
     ) {
         this.startedAt = startedAt;
+        this.evidence = new evidences.EvidenceOfSends(route.kind, context.metrics);
         const relayed = envelopes.relayedRequestOf(request);
         this.allowedRegions = dispatch.intersectRegions(route.allowedRegions, workspace?.allowedRegions);
         this.isRelayed = relayed !== undefined;
@@ -220,6 +223,7 @@
         { id, softwareVersion }: Pick<routing.Upstream, "id" | "softwareVersion">,
         result: string,
         startedAt: decision.Milliseconds,
+        evidence?: evidences.SendEvidence,
     ): void {
         const { clock, metrics } = this.context;
         metrics.sends.inc({ service: this.service, call, result });
@@ -231,14 +235,10 @@
             result,
             startedMs: Math.round(startedAt - this.startedAt),
             tookMs: Math.round(clock() - startedAt),
+            ...this.evidence.record(call, evidence),
         });
     }
 
-    /** Records how another host answered, for the log and the metrics. */
-    recordRelay(host: string, result: string, startedAt: decision.Milliseconds): void {
-        this.recordCall("relay", { id: host, softwareVersion: "" }, result, startedAt);
-    }
-
     /**
      * Sends the status and headers of an upstream's response to the caller. One without framing ends with its connection
      * here too; with a Content-Length, one that the upstream broke off would look complete.
@@ -383,6 +383,7 @@
         this.context.hostStop.delete(this);
         if (this.callInFlight) {
             this.callRecords.push(this.callInFlight);
+            this.evidence.record(this.callInFlight.call, { basis: evidences.Basis.Unproved });
         }
         clearTimeout(this.deadlineTimer);
         this.permits.close();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import * as util from "node:util";
 import type * as contexts from "./context.js";
 import * as endpoints from "./endpoints.js";
-import * as exchanges from "./exchange.js";
+import type * as exchanges from "./exchange.js";
 import * as garbage from "./garbage.js";
 import * as limits from "./limits.js";
 import * as liveness from "./liveness.js";
@@ -16,6 +16,7 @@
 import * as handlers from "./model/handler.js";
 import * as versions from "./model/versions.js";
 import * as observations from "./observations.js";
+import * as outcomes from "./outcome.js";
 import * as peers from "./peers.js";
 import * as quarantines from "./quarantine.js";
 import type * as registries from "./registry.js";
@@ -38,12 +39,6 @@
 const DRAIN_POLL_MS = 50;
 /** The same, in its last moment. */
 const LAST_POLL_MS = 10;
-/** Outcomes of requests that tell how long such requests take, or at least. */
-const TIMED_OUTCOMES: ReadonlySet<exchanges.FinalReason> = new Set([
-    exchanges.FinalReason.Served,
-    exchanges.FinalReason.TimedOut,
-]);
-
 /** Settings that only change with a restart of the process. */
 const RESTART_ONLY_FIELDS: ReadonlySet<keyof settings.GatewaySettings> = new Set([
     "host",
@@ -250,7 +245,7 @@
         regionOfHost: (address) =>
             onlyRegion(current.regions) ?? current.regions.get(storeView.zoneOfHost(address) ?? ""),
         sendRefusal: (response, requestId, refusal) => sendRefusal(wireFormat, response, requestId, refusal),
-        logOutcome: (exchange, reason, status) => logOutcome(context, exchange, reason, status),
+        logOutcome: (exchange, reason, status) => outcomes.logOutcome(context, exchange, reason, status),
     };
     const models = new handlers.ModelRequestHandler(context);
     const bounds = dispatch.boundsOf(settings.machine);
@@ -363,43 +358,3 @@
     );
     response.end(body);
 }
-
-function logOutcome(
-    context: contexts.GatewayContext,
-    exchange: exchanges.Exchange,
-    reason: exchanges.FinalReason,
-    status: number,
-): void {
-    const { clock, storeView, log, pool } = context;
-    const now = clock();
-    const active = storeView.activeConfiguration();
-    const emptied = pool.emptiedZones(now);
-    context.metrics.requests.inc({ service: exchange.service, outcome: reason });
-    context.metrics.duration.observe({ service: exchange.service }, (now - exchange.startedAt) / decision.SECOND_MS);
-    if (TIMED_OUTCOMES.has(reason)) {
-        context.durationForecast.observe(exchange.route.name, now - exchange.startedAt);
-    }
-    log.decision("request ended", {
-        requestId: exchange.metadata.requestId,
-        route: exchange.route.name,
-        service: exchange.service,
-        workspace: exchange.workspace?.name,
-        callerTimeoutMs: exchange.metadata.timeoutMs,
-        promptTokens: exchange.metadata.promptTokens,
-        outputTokens: exchange.metadata.maxOutputTokens,
-        estimatedOutputTokens: exchange.metadata.estimatedOutputTokens,
-        expectedOutputTokens: exchange.expectedOutput.median,
-        reservedTokens: exchange.reservedTokens,
-        refusedReservations: exchange.refusedReservations,
-        passedEvents: exchange.relayedEvents,
-        resumedAfterEvent: exchange.metadata.lastEventId,
-        resumedRequestId: exchange.metadata.resumedRequestId,
-        outcome: reason,
-        status,
-        tookMs: Math.round(now - exchange.startedAt),
-        steps: exchange.callRecords,
-        configuration: active?.table.configuration.version,
-        emptiedZones: emptied.length === 0 ? undefined : emptied.map(({ zone }) => zone),
-        upstreamsAgeMs: Math.round(pool.listingAgeMs(now)),
-    });
-}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,6 +20,9 @@
     readonly stoppingRequests: promClient.Counter<"decision">;
     readonly droppedRequests: promClient.Counter;
     readonly droppedLogLines: promClient.Counter;
+    readonly foreignAnswers: promClient.Counter<"call">;
+    readonly notRunAnswers: promClient.Counter<"service" | "status" | "basis">;
+    readonly resends: promClient.Counter<"call" | "kind" | "basis">;
     readonly unreadMessages: promClient.Counter<"reason">;
     readonly crashReports: promClient.Counter<"report" | "source">;
     readonly observations: promClient.Counter<"state" | "source">;
@@ -169,6 +172,19 @@
             [],
         ),
         droppedLogLines: counter("citronlead_gateway_dropped_log_lines_total", "Log lines beyond the bound.", []),
+        foreignAnswers: counter("citronlead_gateway_foreign_answers_total", "Answers that belonged to another call.", [
+            "call",
+        ]),
+        notRunAnswers: counter(
+            "citronlead_gateway_not_run_answers_total",
+            "Final answers that promise that nothing ran, by the weakest of what they rest on.",
+            ["service", "status", "basis"],
+        ),
+        resends: counter(
+            "citronlead_gateway_resends_total",
+            "Sends of a request after others, by the weakest of what says that those did not run it.",
+            ["call", "kind", "basis"],
+        ),
         unreadMessages: counter(
             "citronlead_gateway_unread_messages_total",
             "Datagrams that were not read, by reason.",
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -2,6 +2,7 @@
 import * as dispatch from "@citronlead/dispatch";
 import type * as http from "node:http";
 import * as background from "../background.js";
+import * as evidences from "../evidence.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
 import * as streams from "../model/relay.js";
@@ -63,6 +64,8 @@
         const close = this.relayHosts.open(host);
         const mayHaveRun = exchange.mayHaveRun;
         exchange.mayHaveRun = true;
+        const record = (result: string, evidence: evidences.SendEvidence) =>
+            exchange.recordCall("relay", { id: host, softwareVersion: "" }, result, startedAt, evidence);
         try {
             const outcome = await calls.startCall(this.agent, {
                 address: host,
@@ -81,7 +84,9 @@
                 signal: exchange.signal,
             });
             if (outcome.progress !== calls.CallProgress.Responded) {
-                exchange.recordRelay(host, `${outcome.progress}: ${outcome.reason}`, startedAt);
+                const isUnsent = outcome.progress === calls.CallProgress.NotSent;
+                const basis = isUnsent ? evidences.Basis.Unconnected : evidences.Basis.Unproved;
+                record(`${outcome.progress}: ${outcome.reason}`, { basis, outcome });
                 if (outcome.progress === calls.CallProgress.NotSent) {
                     exchange.mayHaveRun = mayHaveRun;
                     return RelayAnswer.Unable;
@@ -96,7 +101,9 @@
                 context.notices.observeRelayed(leaving, { call: `relay by ${host}`, requestId });
             }
             const refusal = envelopes.parseRefusal(response.headers);
-            exchange.recordRelay(host, `${response.statusCode} ${refusal?.reason ?? ""}`.trimEnd(), startedAt);
+            const isNotRun = refusal !== undefined && NOT_RUN_STATUSES.has(response.statusCode ?? 0);
+            const basis = isNotRun ? evidences.Basis.HostRefusal : evidences.Basis.Unproved;
+            record(`${response.statusCode} ${refusal?.reason ?? ""}`.trimEnd(), { basis, outcome });
             if (!UNABLE_REASONS.has(refusal?.reason ?? "")) {
                 this.relayHosts.recordAble(host);
             }
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -4,6 +4,7 @@
 import * as routing from "@citronlead/routing";
 import type * as http from "node:http";
 import type * as contexts from "./context.js";
+import * as evidences from "./evidence.js";
 import type * as exchanges from "./exchange.js";
 import * as json from "./json.js";
 import * as regions from "./regions.js";
@@ -118,6 +119,7 @@
     });
     context.reachability.record(upstream, outcome);
     context.observations.record(upstream, outcome, notices.isWrongUpstream(outcome), startedAt);
+    evidences.reportForeignAnswer(context, upstream.id, options.call, metadata.requestId, outcome);
     const sent = await classifyOutcome(exchange, upstream, outcome, options.call, startedAt);
     const acceptedPrefill = options.prefillOnly && sent.kind === SendKind.Response && sent.response.statusCode === 200;
     const arrived = outcome.progress !== calls.CallProgress.NotSent;
@@ -130,7 +132,7 @@
             : dispatch.SendEnd.NotArrived,
     );
     const text = sent.kind === SendKind.Response ? String(sent.response.statusCode) : `${sent.kind}: ${sent.reason}`;
-    exchange.recordCall(options.call, upstream, text, startedAt);
+    exchange.recordCall(options.call, upstream, text, startedAt, { basis: basisOf(sent), outcome });
     recordHealth(health, sent, exchange.isOver, context.clock());
     if (sent.kind === SendKind.Lost && sent.failure === calls.CallFailure.Broken) {
         const decoding = !(options.prefillOnly ?? false);
@@ -139,6 +141,21 @@
     return sent;
 }
 
+/** On what the outcome of a send rests. */
+function basisOf(sent: SendOutcome): evidences.Basis {
+    if (sent.kind !== SendKind.NotRun) {
+        return evidences.Basis.Unproved;
+    }
+    switch (sent.result) {
+        case dispatch.SendResult.Unreachable:
+            return evidences.Basis.Unconnected;
+        case dispatch.SendResult.Excluded:
+            return evidences.Basis.WrongUpstream;
+        default:
+            return evidences.Basis.Marked;
+    }
+}
+
 /** Waits for a send's turn at an upstream that warms up. Returns why nothing is sent, undefined if it is the request's turn. */
 async function refuseWarmUpTurn(
     exchange: exchanges.Exchange,
@@ -279,6 +296,7 @@
     });
     context.reachability.record(upstream, outcome);
     context.observations.record(upstream, outcome, notices.isWrongUpstream(outcome), startedAt);
+    evidences.reportForeignAnswer(context, upstream.id, name, undefined, outcome);
     const isSilent = outcome.progress !== calls.CallProgress.Responded
         && outcome.failure === calls.CallFailure.TimedOut;
     if (isSilent && upstream.stage !== undefined) {
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -4,6 +4,7 @@
 import * as heads from "../head.js";
 import * as agents from "./agent.js";
 import * as lines from "./lineends.js";
+import * as traces from "./trace.js";
 
 /** A request to an upstream. */
 export interface UpstreamCall {
@@ -54,13 +55,26 @@
 
 /** Outcome of a call up to the response headers. */
 export type CallOutcome =
-    | { readonly progress: CallProgress.Responded; readonly response: http.IncomingMessage; }
+    | {
+        readonly progress: CallProgress.Responded;
+        readonly response: http.IncomingMessage;
+        readonly trace?: traces.CallTrace;
+    }
     | {
         readonly progress: CallProgress.NotSent | CallProgress.NoResponse;
         readonly failure: CallFailure;
         readonly reason: string;
+        readonly trace?: traces.CallTrace;
+        /** The response that answers another call, if that is why it is not used. */
+        readonly foreign?: ForeignResponse | undefined;
     };
 
+/** Head of a response that answers another call. */
+export interface ForeignResponse {
+    readonly status: number;
+    readonly headers: http.IncomingHttpHeaders;
+}
+
 /** Maximum number of interim responses before the final one. */
 const MAX_INTERIM_RESPONSES = 16;
 
@@ -93,6 +107,8 @@
             resolve({ progress: CallProgress.NotSent, failure: CallFailure.Unwritable, reason: request.problem });
             return;
         }
+        const trace = traces.traceCall(request);
+        let foreign: ForeignResponse | undefined;
         let connected = false;
         let failure = CallFailure.Broken;
         let reason: string | undefined;
@@ -132,6 +148,8 @@
                 progress: connected ? CallProgress.NoResponse : CallProgress.NotSent,
                 failure: call.signal?.aborted ? CallFailure.Aborted : failure,
                 reason: reason ?? "closed",
+                trace: trace(),
+                foreign,
             });
         });
         request.on("information", () => {
@@ -143,9 +161,13 @@
             response.socket.off("data", checkLineEnds);
             const problem = lineEnds.isMalformed
                 ? "malformed line end"
-                : heads.findMalformedHead(response) ?? call.findMismatch?.(response.headers);
-            if (problem !== undefined) {
-                stop(CallFailure.Malformed, problem);
+                : heads.findMalformedHead(response);
+            const mismatch = problem === undefined ? call.findMismatch?.(response.headers) : undefined;
+            if (mismatch !== undefined) {
+                foreign = { status: response.statusCode ?? 0, headers: response.headers };
+            }
+            if (problem !== undefined || mismatch !== undefined) {
+                stop(CallFailure.Malformed, problem ?? mismatch ?? "");
                 return;
             }
             clearTimeout(timer);
@@ -158,7 +180,7 @@
             if (!isFramed(response)) {
                 response.socket.once("end", () => closedByUpstream.add(response));
             }
-            resolve({ progress: CallProgress.Responded, response });
+            resolve({ progress: CallProgress.Responded, response, trace: trace() });
         });
         request.end(call.body);
     });
