Gateway: no connection carries two requests with one id, or one without an id beside others

Callers whose requests repeat an id, or have none, were answered 503 ("not run") while an upstream ran the request, or ran at two upstreams: a late copy of the refusal of an earlier request bears the id of the present one. Only repeats within one request, to the same incarnation, had connections of their own. Cause: that an answer bears the id of its request proves whose it is only if its connection has not carried that id before. Connections now keep the ids of their latest 32 requests; a request whose id an idle connection has carried, or that has none, gets a connection that no other call uses. This covers the repeats within one request too. Price: none for callers with an id for each request, since ids that are new never leave the pool.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -81,8 +81,6 @@
     private unsentCallback: (() => void) | undefined;
     /** Whether an upstream may have run the request. */
     mayHaveRun = false;
-    /** Incarnations of the upstreams that it was sent to. */
-    readonly sentTo = new Set<string>();
     /** Number of reservations that engines refused for lack of capacity. */
     refusedReservations = 0;
     relayedEvents = 0;
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -98,13 +98,12 @@
         resumeAfterEventId: options.resumeAfterEventId,
     };
     const incarnation = routing.incarnationOf(upstream);
-    // Responses to both sends bear the same id, so that a late copy of the first could be taken for the second.
-    const ownConnection = exchange.sentTo.has(incarnation);
-    exchange.sentTo.add(incarnation);
     const outcome = await calls.startCall(context.agent, {
         address: upstream.address,
         incarnation,
-        ownConnection,
+        id: metadata.requestId,
+        // An answer without an id could be to any other call.
+        ownConnection: metadata.requestId === undefined,
         findMismatch: (headers) => {
             const { requestId } = context.wireFormat.parseResponse(headers);
             return requestId === metadata.requestId ? undefined : `response to request ${requestId ?? "without an id"}`;
--- a/packages/gateway/src/upstream/agent.ts
+++ b/packages/gateway/src/upstream/agent.ts
@@ -13,10 +13,16 @@
  * Margin by which a connection is closed before the upstream closes it, since the announced time is in whole seconds.
  */
 const IDLE_MARGIN_MS = 1_000;
+/** Requests of which a connection keeps the ids: a late copy of an answer comes in place of the next answers. */
+const MAX_CARRIED_IDS = 32;
+/** Length beyond which ids are not kept. */
+const MAX_ID_LENGTH = 128;
 
 interface ConnectionState {
     /** Maximum idle time; 0 if the connection must not be reused. */
     maxIdleMs: decision.Milliseconds;
+    /** Ids of the latest requests on the connection, oldest first. */
+    readonly carriedIds: string[];
 }
 
 /** Connections are pooled by incarnation, so that those of a previous incarnation are never used for a new one. */
@@ -48,7 +54,7 @@
     }
 
     override keepSocketAlive(socket: stream.Duplex): boolean {
-        const maxIdleMs = this.connections.get(socket)?.maxIdleMs ?? MAX_IDLE_MS;
+        const { maxIdleMs } = this.stateOf(socket);
         if (maxIdleMs <= 0 || !(socket instanceof net.Socket) || socket.destroyed) {
             return false;
         }
@@ -71,13 +77,36 @@
     recordKeepAlive(socket: stream.Duplex, headers: http.IncomingHttpHeaders): void {
         const seconds = /timeout=(\d+)/.exec(String(headers["keep-alive"] ?? ""))?.[1];
         const maxIdleMs = seconds === undefined ? MAX_IDLE_MS : Number(seconds) * 1_000 - IDLE_MARGIN_MS;
-        this.connections.set(socket, { maxIdleMs: Math.min(MAX_IDLE_MS, Math.max(0, maxIdleMs)) });
+        this.stateOf(socket).maxIdleMs = Math.min(MAX_IDLE_MS, Math.max(0, maxIdleMs));
+    }
+
+    /** Records that a connection carries a request with this id. */
+    recordRequest(socket: stream.Duplex, id: string): void {
+        const { carriedIds } = this.stateOf(socket);
+        if (id.length <= MAX_ID_LENGTH) {
+            carriedIds.push(id);
+        }
+        if (carriedIds.length > MAX_CARRIED_IDS) {
+            carriedIds.shift();
+        }
+    }
+
+    /** Whether an idle connection to the incarnation has carried, or may have carried, a request with this id. */
+    mayHaveCarried(incarnation: string, id: string): boolean {
+        return id.length > MAX_ID_LENGTH
+            || this.freeSockets[incarnation]?.some((socket) => this.stateOf(socket).carriedIds.includes(id)) === true;
     }
 
     /** Closes the idle connections of an incarnation. */
     closeIdle(incarnation: string): void {
         this.freeSockets[incarnation]?.forEach((socket) => socket.destroy());
     }
+
+    private stateOf(socket: stream.Duplex): ConnectionState {
+        const state = this.connections.get(socket) ?? { maxIdleMs: MAX_IDLE_MS, carriedIds: [] };
+        this.connections.set(socket, state);
+        return state;
+    }
 }
 
 function destroyIdle(this: stream.Duplex): void {
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -20,6 +20,8 @@
     readonly headersTimeoutMs: decision.Milliseconds;
     /** What in the headers of a response shows that it answers another call; undefined if it answers this one. */
     readonly findMismatch?: (headers: http.IncomingHttpHeaders) => string | undefined;
+    /** Id that answers to the call bear. No connection carries two calls with one id: their answers look alike. */
+    readonly id?: string | undefined;
     /** Whether the call gets a connection that no other call uses, before or after it. */
     readonly ownConnection?: boolean;
     /** Cancels the call and closes its connection when aborted. */
@@ -73,6 +75,8 @@
 /** Sends a request and waits for the response headers. */
 export function startCall(agent: agents.UpstreamAgent, call: UpstreamCall): Promise<CallOutcome> {
     const { host, port } = splitAddress(call.address);
+    const { id, incarnation } = call;
+    const ownConnection = call.ownConnection === true || (id !== undefined && agent.mayHaveCarried(incarnation, id));
     return new Promise((resolve) => {
         if (call.signal?.aborted) {
             resolve({ progress: CallProgress.NotSent, failure: CallFailure.Aborted, reason: "aborted" });
@@ -83,10 +87,10 @@
             port,
             method: call.method,
             path: call.path,
-            headers: headersOf(call) as unknown as http.OutgoingHttpHeaders,
+            headers: headersOf(call, ownConnection) as unknown as http.OutgoingHttpHeaders,
             setHost: false,
             agent,
-            incarnation: call.ownConnection ? `${call.incarnation} ${++ownConnections}` : call.incarnation,
+            incarnation: ownConnection ? `${incarnation} ${++ownConnections}` : incarnation,
         };
         const request = openRequest(options);
         if (!(request instanceof http.ClientRequest)) {
@@ -110,6 +114,9 @@
         const lineEnds = new lines.LineEndChecker();
         const checkLineEnds = (bytes: Buffer) => lineEnds.push(bytes);
         request.on("socket", (socket) => {
+            if (id !== undefined) {
+                agent.recordRequest(socket, id);
+            }
             // Before the parser's own listener, so that the head is checked by the time of its response.
             socket.prependListener("data", checkLineEnds);
             if (socket.connecting) {
@@ -174,7 +181,7 @@
     }
 }
 
-function headersOf({ headers, body, ownConnection }: UpstreamCall): string[] {
+function headersOf({ headers, body }: UpstreamCall, ownConnection: boolean): string[] {
     return [
         ...headers,
         ...(body === undefined ? [] : ["Content-Length", String(body.length)]),
