--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./retry.js";
 export * from "./returns.js";
 export * from "./room.js";
+export * from "./runledger.js";
 export * from "./silence.js";
 export * from "./speeds.js";
 export * from "./stages.js";
--- a/packages/dispatch/src/retry.ts
+++ b/packages/dispatch/src/retry.ts
@@ -32,8 +32,11 @@
     if (effect === SendEffect.NotRun) {
         return true;
     }
-    const isRepeatable = route.kind === routing.RouteKind.Idempotent
-        ? !responseStarted
-        : route.kind === routing.RouteKind.Streaming && route.resumable;
+    const isRepeatable = mayRepeat(route) && (route.kind !== routing.RouteKind.Idempotent || !responseStarted);
     return isRepeatable && runs < route.maxAttempts;
 }
+
+/** Whether a request on the route may run more than once. */
+export function mayRepeat({ kind, resumable }: Pick<routing.Route, "kind" | "resumable">): boolean {
+    return kind === routing.RouteKind.Idempotent || (kind === routing.RouteKind.Streaming && resumable);
+}
