Gateway: statuses that leave are decided at one gate, by the run ledger

Three places saved, set and restored exchange.mayHaveRun, and eight chose 502 or 503 by it; a way of sending or refusing that forgot it would have promised what nobody knows. Now calls.startCall takes leave for each send that can run a request (run; undefined is to be said for those that cannot), Exchange.refuse replaces a promise while a send is unproven (504 at the deadline, else 502), and a request that may run once is not sent again meanwhile, nor anything after the final answer. The line 'request ended' has promiseBasis: the proofs, or nothingSent. No change is meant in what callers see: promiseexits.test (deadline, stop, caller gone, in prefill, run, warm-up turn, relay; 10 cases) passes before and after.

--- a/packages/gateway/src/away.ts
+++ b/packages/gateway/src/away.ts
@@ -14,16 +14,15 @@
 export function refuseWhileAway(exchange: exchanges.Exchange, leavingRetryAfterMs: decision.Milliseconds): void {
     const { clock, pool, random } = exchange.context;
     const now = clock();
-    const status = exchange.mayHaveRun ? 502 : 503;
     if (pool.isEmptied(exchange.service, now)) {
         const retryAfterMs = EMPTIED_RETRY_AFTER_MS * (0.5 + random());
-        exchange.refuse({ status, reason: exchanges.FinalReason.ZonesEmptied, retryAfterMs });
+        exchange.refuse({ status: 503, reason: exchanges.FinalReason.ZonesEmptied, retryAfterMs });
         return;
     }
     const returnsInMs = pool.returnsInMs(exchange.service, now, (upstream) => regions.mayUse(exchange, upstream))
         ?? Infinity;
     exchange.refuse({
-        status,
+        status: 503,
         reason: exchanges.FinalReason.UpstreamsAway,
         retryAfterMs: Number.isFinite(returnsInMs)
             ? returnsInMs + RETURN_SPREAD_MS * random()
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -10,7 +10,7 @@
 /** Why a request ended as it did. */
 export enum FinalReason {
     Served = "served",
-    /** An upstream's error response was relayed. */
+    /** An upstream's error response was relayed, or replaced because it would have been a promise. */
     UpstreamFailure = "upstreamFailure",
     NotReady = "notReady",
     BadRequest = "badRequest",
@@ -79,8 +79,8 @@
     private callInFlight: callrecords.CallRecord | undefined;
     private sent = false;
     private unsentCallback: (() => void) | undefined;
-    /** Whether an upstream may have run the request. */
-    mayHaveRun = false;
+    /** Leave for each send that could run the request, and what is known of them. */
+    readonly runs: dispatch.RunLedger;
     /** Incarnations of the upstreams that it was sent to. */
     readonly sentTo = new Set<string>();
     /** Number of reservations that engines refused for lack of capacity. */
@@ -125,6 +125,7 @@
             use: () => retryBudget.use(service, clock()),
             release: () => retryBudget.release(service),
         });
+        this.runs = new dispatch.RunLedger(dispatch.mayRepeat(route));
         this.deadlineTimer = setTimeout(() => this.onDeadline(), Math.max(0, this.deadlineAt - context.clock()));
         response.on("close", () => this.onCallerDisconnect());
         context.hostStop.add(this);
@@ -241,9 +242,10 @@
 
     /**
      * Sends the status and headers of an upstream's response to the caller. One without framing ends with its connection
-     * here too; with a Content-Length, one that the upstream broke off would look complete.
+     * here too; with a Content-Length, one that the upstream broke off would look complete. Returns false if the request is
+     * refused instead: the status would promise that it has not run.
      */
-    beginResponse(status: number, headers: readonly string[], framed: boolean): void {
+    beginResponse(status: number, headers: readonly string[], framed: boolean): boolean {
         this.context.metrics.firstByte.observe(
             { service: this.service },
             (this.context.clock() - this.startedAt) / decision.SECOND_MS,
@@ -257,6 +259,7 @@
             ? envelopes.leavingHeaders(this.leavingUpstream)
             : [];
         this.response.writeHead(status, [...headers, ...relayHeaders] as unknown as http.OutgoingHttpHeader[]);
+        return true;
     }
 
     /** Ends a response that was relayed completely. */
@@ -290,7 +293,7 @@
     async serveElsewhereIfUnreached(): Promise<boolean> {
         const isUnreached = this.callRecords.length > 0 && this.permits.arrivals === 0 && !this.hasContact
             && !this.permits.hasPrefill;
-        if (this.finished || this.mayHaveRun || this.response.headersSent || !isUnreached) {
+        if (this.finished || this.runs.mayHaveRun || this.response.headersSent || !isUnreached) {
             return this.finished;
         }
         this.takeBackCharges();
@@ -310,7 +313,7 @@
     refuseIfBarred(): boolean {
         if (!this.finished && this.context.quarantine.isBarred(this.fingerprints)) {
             this.refuse({
-                status: this.mayHaveRun ? 502 : 503,
+                status: 503,
                 reason: FinalReason.ContentBarred,
                 retryAfterMs: BARRED_RETRY_AFTER_MS,
             });
@@ -324,7 +327,10 @@
         return this.finished;
     }
 
-    /** Refuses the request, or aborts its response if a part has already been sent. */
+    /**
+     * Refuses the request, or aborts its response if a part has already been sent. A status that promises that the request has
+     * not run is replaced if it may have.
+     */
     refuse(refusal: Refusal): void {
         if (this.finished) {
             return;
@@ -333,8 +339,9 @@
             this.abortResponse(refusal.reason);
             return;
         }
-        this.finish(refusal.reason, refusal.status);
-        this.context.sendRefusal(this.response, this.metadata.requestId, refusal);
+        const status = this.runs.refusalStatus(refusal.status, refusal.reason === FinalReason.TimedOut);
+        this.finish(refusal.reason, status);
+        this.context.sendRefusal(this.response, this.metadata.requestId, { ...refusal, status });
     }
 
     /** Refuses a request that may have run and whose response is lost; one that has reached its deadline has timed out. */
@@ -362,7 +369,7 @@
             this.deadlineTimer = setTimeout(() => this.abortResponse(FinalReason.TimedOut), RESPONSE_MARGIN_MS);
             return;
         }
-        this.refuse({ status: this.mayHaveRun ? 504 : 503, reason: FinalReason.TimedOut, retryAfterMs: 0 });
+        this.refuse({ status: 503, reason: FinalReason.TimedOut, retryAfterMs: 0 });
     }
 
     private onCallerDisconnect(): void {
@@ -386,6 +393,7 @@
         }
         clearTimeout(this.deadlineTimer);
         this.permits.close();
+        this.runs.close();
         this.abortController.abort();
         this.notifyUnsent();
         this.context.logOutcome(this, reason, status);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -396,6 +396,7 @@
         resumedRequestId: exchange.metadata.resumedRequestId,
         outcome: reason,
         status,
+        promiseBasis: exchange.runs.basisOf(status),
         tookMs: Math.round(now - exchange.startedAt),
         steps: exchange.callRecords,
         configuration: active?.table.configuration.version,
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -175,8 +175,6 @@
         progress: relays.StreamProgress,
         previousRuns: number,
     ): Promise<dispatch.SendEffect | undefined> {
-        const mayHaveRun = exchange.mayHaveRun;
-        exchange.mayHaveRun = true;
         const silence = this.silence.limitsOf(exchange, progress, reservation.candidate, previousRuns + 1);
         const timer = setTimeout(silence.onSuspected, silence.suspectedMs);
         const sent = await sends.sendRequest(exchange, reservation.candidate, {
@@ -189,7 +187,6 @@
         });
         clearTimeout(timer);
         if (sent.kind === sends.SendKind.NotRun) {
-            exchange.mayHaveRun = mayHaveRun;
             reservations.releaseReservation(exchange, reservation);
             if (prefill) {
                 prefill.candidate.health.record(dispatch.SendResult.Failed, this.context.clock());
@@ -382,7 +379,7 @@
             ? this.noEngineRetryAfterMs()
             : this.queueOf(exchange.service).retryAfterMs(this.context.random());
         exchange.refuse({
-            status: exchange.mayHaveRun ? 502 : 503,
+            status: 503,
             reason: failure === reservations.ReservationFailure.NoEngine
                 ? exchanges.FinalReason.NoUpstream
                 : exchanges.FinalReason.NoCapacity,
@@ -395,7 +392,7 @@
     }
 
     private refuseUnserved(exchange: exchanges.Exchange): void {
-        if (exchange.mayHaveRun) {
+        if (exchange.runs.mayHaveRun) {
             exchange.refuseAsLost();
             return;
         }
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -43,7 +43,7 @@
             return;
         }
         if (!choice.candidate && await waitForReturn(exchange)) {
-            if (!exchange.mayHaveRun) {
+            if (!exchange.runs.mayHaveRun) {
                 tried.clear();
             }
             continue;
@@ -130,13 +130,10 @@
     previousRuns: number,
     headersTimeoutMs: decision.Milliseconds,
 ): Promise<dispatch.SendEffect | undefined> {
-    const mayHaveRun = exchange.mayHaveRun;
-    exchange.mayHaveRun = true;
     candidate.health.inFlight++;
     try {
         const sent = await sends.sendRequest(exchange, candidate, { call: "run", headersTimeoutMs });
         if (sent.kind === sends.SendKind.NotRun) {
-            exchange.mayHaveRun = mayHaveRun;
             return dispatch.SendEffect.NotRun;
         }
         if (sent.kind === sends.SendKind.Lost) {
@@ -205,7 +202,7 @@
 
 /** Refuses a request; `limitedForMs` is the time until an upstream takes one again, if upstreams have named limits. */
 function refuseUnserved(exchange: exchanges.Exchange, limitedForMs: decision.Milliseconds | undefined): void {
-    if (exchange.mayHaveRun) {
+    if (exchange.runs.mayHaveRun) {
         exchange.refuseAsLost();
         return;
     }
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -46,10 +46,11 @@
             .filter((host) => host !== `${address}:${port}` && regions.mayReachHost(exchange, host));
         const ranked = this.relayHosts.rank(others, context.clock(), context.random).slice(0, MAX_HOSTS);
         for (const host of ranked) {
-            if (exchange.isOver) {
-                return true;
+            const run = exchange.runs.tryEnter();
+            if (!run) {
+                return exchange.isOver;
             }
-            if (await this.relayTo(exchange, host) === RelayAnswer.Final) {
+            if (await this.relayTo(exchange, host, run) === RelayAnswer.Final) {
                 return true;
             }
             this.relayHosts.recordUnable(host, context.clock());
@@ -57,12 +58,14 @@
         return exchange.isOver;
     }
 
-    private async relayTo(exchange: exchanges.Exchange, host: string): Promise<RelayAnswer> {
-        const { context, request } = exchange;
+    private async relayTo(
+        exchange: exchanges.Exchange,
+        host: string,
+        run: dispatch.RunEntry,
+    ): Promise<RelayAnswer> {
+        const { context, request, metadata } = exchange;
         const startedAt = context.clock();
         const close = this.relayHosts.open(host);
-        const mayHaveRun = exchange.mayHaveRun;
-        exchange.mayHaveRun = true;
         try {
             const outcome = await calls.startCall(this.agent, {
                 address: host,
@@ -78,12 +81,13 @@
                 ],
                 body: exchange.body,
                 headersTimeoutMs: exchange.remainingMs,
+                run,
                 signal: exchange.signal,
             });
             if (outcome.progress !== calls.CallProgress.Responded) {
                 exchange.recordRelay(host, `${outcome.progress}: ${outcome.reason}`, startedAt);
                 if (outcome.progress === calls.CallProgress.NotSent) {
-                    exchange.mayHaveRun = mayHaveRun;
+                    run.prove(dispatch.NotRunProof.NotConnected);
                     return RelayAnswer.Unable;
                 }
                 exchange.refuseAsLost();
@@ -92,7 +96,7 @@
             const { response } = outcome;
             const leaving = envelopes.parseLeaving(response.headers);
             if (leaving !== undefined) {
-                const { requestId } = exchange.metadata;
+                const { requestId } = metadata;
                 context.notices.observeRelayed(leaving, { call: `relay by ${host}`, requestId });
             }
             const refusal = envelopes.parseRefusal(response.headers);
@@ -110,10 +114,12 @@
                 await relayResponse(exchange, response);
                 return RelayAnswer.Final;
             }
-            await calls.readBody(response, REFUSAL_TIMEOUT_MS, MAX_REFUSAL_BYTES);
             const status = response.statusCode ?? 502;
-            exchange.mayHaveRun = mayHaveRun || !NOT_RUN_STATUSES.has(status);
-            if (UNABLE_REASONS.has(refusal.reason) && NOT_RUN_STATUSES.has(status)) {
+            if (dispatch.isPromise(status)) {
+                run.prove(dispatch.NotRunProof.HostRefusal);
+            }
+            await calls.readBody(response, REFUSAL_TIMEOUT_MS, MAX_REFUSAL_BYTES);
+            if (UNABLE_REASONS.has(refusal.reason) && dispatch.isPromise(status)) {
                 return RelayAnswer.Unable;
             }
             const reason = Object.values(exchanges.FinalReason).find((known) => known === refusal.reason);
@@ -130,9 +136,6 @@
     }
 }
 
-/** Statuses with which a host promises that it has not run a request and never will. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** Refusals after which another host may serve the request. */
 const UNABLE_REASONS: ReadonlySet<string> = new Set([
     exchanges.FinalReason.Unreachable,
@@ -146,11 +149,14 @@
     const pieces = new decision.TokenBucket(streams.STREAM_PIECES, context.clock());
     const status = source.statusCode ?? 502;
     const length = source.headers["content-length"];
-    exchange.beginResponse(
-        status,
-        headers.responseHeaders(source.rawHeaders, length === undefined ? undefined : Number(length)),
-        true,
+    const relayedHeaders = headers.responseHeaders(
+        source.rawHeaders,
+        length === undefined ? undefined : Number(length),
     );
+    if (!exchange.beginResponse(status, relayedHeaders, true)) {
+        source.destroy();
+        return Promise.resolve();
+    }
     return new Promise((resolve, reject) => {
         const fail = (error: unknown) => {
             source.destroy();
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -61,6 +61,7 @@
 
 /** Why a request is not sent to an upstream in a region that it may not use. */
 const OTHER_REGION = "region not allowed";
+const REQUEST_OVER = "the request is over";
 
 /** Sends the request of an exchange to an upstream and classifies the outcome. */
 export async function sendRequest(
@@ -86,7 +87,6 @@
         exchange.recordCall(options.call, upstream, `not sent: ${refusal}`, startedAt);
         return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason: refusal };
     }
-    exchange.beginCall(options.call, upstream);
     const forwarding: wires.ForwardingMetadata = {
         expectedUpstream: upstream.id,
         timeLeftMs: Math.max(MIN_FORWARDED_TIMEOUT_MS, Math.floor(exchange.remainingMs)),
@@ -97,6 +97,15 @@
         reservation: options.reservation,
         resumeAfterEventId: options.resumeAfterEventId,
     };
+    const headers = context.wireFormat.upstreamHeaders(request.rawHeaders, forwarding);
+    const run = options.prefillOnly ? undefined : exchange.runs.tryEnter();
+    if (!options.prefillOnly && !run) {
+        const reason = exchange.isOver ? REQUEST_OVER : "may have run";
+        exchange.permits.settle(permit, dispatch.SendEnd.NotArrived);
+        exchange.recordCall(options.call, upstream, `not sent: ${reason}`, startedAt);
+        return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason };
+    }
+    exchange.beginCall(options.call, upstream);
     const incarnation = routing.incarnationOf(upstream);
     // Responses to both sends bear the same id, so that a late copy of the first could be taken for the second.
     const ownConnection = exchange.sentTo.has(incarnation);
@@ -107,18 +116,25 @@
         ownConnection,
         findMismatch: (headers) => {
             const { requestId } = context.wireFormat.parseResponse(headers);
-            return requestId === metadata.requestId ? undefined : `response to request ${requestId ?? "without an id"}`;
+            return requestId === metadata.requestId
+                ? undefined
+                : `response to request ${requestId ?? "without an id"}`;
         },
         method: request.method ?? "GET",
         path: request.url ?? "/",
-        headers: context.wireFormat.upstreamHeaders(request.rawHeaders, forwarding),
+        headers,
         body: exchange.body,
         headersTimeoutMs: Math.min(options.headersTimeoutMs, exchange.remainingMs),
+        run,
         signal: exchange.signal,
     });
+    const proof = findProof(exchange, outcome);
+    if (proof !== undefined) {
+        run?.prove(proof);
+    }
     context.reachability.record(upstream, outcome);
     context.observations.record(upstream, outcome, notices.isWrongUpstream(outcome), startedAt);
-    const sent = await classifyOutcome(exchange, upstream, outcome, options.call, startedAt);
+    const sent = await classifyOutcome(exchange, upstream, outcome, proof, options.call, startedAt);
     const acceptedPrefill = options.prefillOnly && sent.kind === SendKind.Response && sent.response.statusCode === 200;
     const arrived = outcome.progress !== calls.CallProgress.NotSent;
     exchange.permits.settle(
@@ -157,7 +173,7 @@
             if (permit.granted) {
                 permit.refund();
             }
-            return exclusion ?? "the request is over";
+            return exclusion ?? REQUEST_OVER;
         }
         if (permit.granted) {
             return undefined;
@@ -169,10 +185,27 @@
     }
 }
 
+/** What shows that a call did not run the request and will not run it. */
+function findProof(
+    { context, metadata }: exchanges.Exchange,
+    outcome: calls.CallOutcome,
+): dispatch.NotRunProof | undefined {
+    if (outcome.progress !== calls.CallProgress.Responded) {
+        return outcome.progress === calls.CallProgress.NotSent ? dispatch.NotRunProof.NotConnected : undefined;
+    }
+    const { requestId, notRun } = context.wireFormat.parseResponse(outcome.response.headers);
+    return dispatch.proofOfAnswer({
+        status: outcome.response.statusCode ?? 0,
+        isMarked: notRun,
+        namesRequest: requestId === metadata.requestId,
+    });
+}
+
 async function classifyOutcome(
     exchange: exchanges.Exchange,
     upstream: routing.Upstream,
     outcome: calls.CallOutcome,
+    proof: dispatch.NotRunProof | undefined,
     call: string,
     sentAt: decision.Milliseconds,
 ): Promise<SendOutcome> {
@@ -192,7 +225,7 @@
     if (!wrongUpstream && (metadata.limitPerSecond !== undefined || !metadata.notRun)) {
         exchange.context.limits.observe(upstream, metadata.limitPerSecond, sentAt);
     }
-    if (metadata.notRun || wrongUpstream) {
+    if (proof !== undefined) {
         await calls.readBody(response, REFUSAL_BODY_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
         return {
             kind: SendKind.NotRun,
@@ -275,6 +308,7 @@
         ],
         body,
         headersTimeoutMs: timeoutMs,
+        run: undefined,
         signal: undefined,
     });
     context.reachability.record(upstream, outcome);
--- a/packages/gateway/src/stop.ts
+++ b/packages/gateway/src/stop.ts
@@ -129,7 +129,7 @@
 
     private refuse(exchange: exchanges.Exchange): void {
         exchange.refuse({
-            status: exchange.mayHaveRun ? 502 : 503,
+            status: 503,
             reason: exchanges.FinalReason.HostStopping,
             retryAfterMs: this.retryAfterMs(),
         });
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -1,5 +1,6 @@
 import * as bodies from "@citronlead/bodies";
 import type * as decision from "@citronlead/decision";
+import type * as dispatch from "@citronlead/dispatch";
 import * as http from "node:http";
 import * as heads from "../head.js";
 import * as agents from "./agent.js";
@@ -22,6 +23,8 @@
     readonly findMismatch?: (headers: http.IncomingHttpHeaders) => string | undefined;
     /** Whether the call gets a connection that no other call uses, before or after it. */
     readonly ownConnection?: boolean;
+    /** Leave to send a request that the call could run; undefined for calls that run none, such as control calls. */
+    readonly run: dispatch.RunEntry | undefined;
     /** Cancels the call and closes its connection when aborted. */
     readonly signal: AbortSignal | undefined;
 }
@@ -74,7 +77,7 @@
 export function startCall(agent: agents.UpstreamAgent, call: UpstreamCall): Promise<CallOutcome> {
     const { host, port } = splitAddress(call.address);
     return new Promise((resolve) => {
-        if (call.signal?.aborted) {
+        if (call.signal?.aborted || call.run?.tryBegin() === false) {
             resolve({ progress: CallProgress.NotSent, failure: CallFailure.Aborted, reason: "aborted" });
             return;
         }
--- a/packages/gateway/test/unwritable.test.ts
+++ b/packages/gateway/test/unwritable.test.ts
@@ -18,6 +18,7 @@
             headers: [],
             body: undefined,
             headersTimeoutMs: 100,
+            run: undefined,
             signal: undefined,
         };
         const changes: Partial<calls.UpstreamCall>[] = [
