REFUSED: an upstream's own 408, 429 or 503 is no promise of this host

Callers of requests that may run once got an upstream's 408, 429 or 503 though it did not say that the request had not run; the engine may have run it, and its caller may then send it again. Cause: plain.ts, handler.ts and relay/client.ts passed on any status. PROTOCOL.md: no response without the mark states that the request did not run. Exchange.beginResponse now refuses it with a 502 of this host, without the upstream's signature (MIXED forbids that with another status). Requests that may be repeated get it unchanged. promises.test: 7 of 14 failed before (408, 429, 503 to bookings and streams, and those that another host passes on), none after.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -246,6 +246,10 @@
      * refused instead: the status would promise that it has not run.
      */
     beginResponse(status: number, headers: readonly string[], framed: boolean): boolean {
+        if (!this.runs.mayPassOn(status)) {
+            this.refuse({ status, reason: FinalReason.UpstreamFailure });
+            return false;
+        }
         this.context.metrics.firstByte.observe(
             { service: this.service },
             (this.context.clock() - this.startedAt) / decision.SECOND_MS,
