REFUSED, TWICE: a success that is marked as not run proves nothing

An answer with status 200 or 302 and the mark led to a second run of a booking or stream, or to a 503. Cause: the mark alone counted as proof, though a status below 400 contradicts it. Such an answer now counts as lost (malformed).

--- a/packages/dispatch/src/runledger.ts
+++ b/packages/dispatch/src/runledger.ts
@@ -20,6 +20,7 @@
 /** Statuses with which a response promises that its request has not run and never will. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const WRONG_UPSTREAM_STATUS = 421;
+const MIN_REFUSAL_STATUS = 400;
 const STATUS_OF_LOSS = 502;
 const STATUS_OF_TIMEOUT = 504;
 
@@ -39,7 +40,7 @@
 
 /** The proof that an upstream's answer is; undefined if the request may have run. */
 export function proofOfAnswer({ status, isMarked, namesRequest }: UpstreamAnswer): NotRunProof | undefined {
-    if (!namesRequest) {
+    if (!namesRequest || status < MIN_REFUSAL_STATUS) {
         return undefined;
     }
     return status === WRONG_UPSTREAM_STATUS
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -233,6 +233,11 @@
             reason: `${wrongUpstream ? "another upstream" : "refused"} ${response.statusCode}`,
         };
     }
+    if (metadata.notRun) {
+        response.destroy();
+        const reason = `status ${response.statusCode} marked as not run`;
+        return { kind: SendKind.Lost, reason, failure: calls.CallFailure.Malformed };
+    }
     return { kind: SendKind.Response, response, metadata };
 }
 
--- a/packages/gateway/test/promises.test.ts
+++ b/packages/gateway/test/promises.test.ts
@@ -55,6 +55,16 @@
         }
     }
 
+    for (const status of [200, 302]) {
+        for (const path of ["/book/1", "/write/1"]) {
+            it(`do not rest on a ${status} to ${path} that is marked as not run`, async () => {
+                serveRuns(failWith(status, { "not-run": "1", "content-type": "text/event-stream" }));
+                chai.expect((await fixture.send({ path, headers: PROMPT })).status).to.equal(502);
+                chai.expect(runs().length).to.equal(1);
+            });
+        }
+    }
+
     for (const [name, headers] of [["marked refusal", { "not-run": "1" }], ["421", {}]] as const) {
         it(`do not rest on a ${name} that names another request`, async () => {
             const status = name === "421" ? 421 : 503;
