TWICE, REFUSED: requests without an id share no connection with control calls

A late copy of a refused reservation's answer, which bears no id, was taken for the answer to a run of a request without an id: both ids are undefined, which findMismatch took for equal. The run was done and the request sent again.

--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -63,6 +63,11 @@
 const OTHER_REGION = "region not allowed";
 const REQUEST_OVER = "the request is over";
 
+/** Whether two ids are the same; an empty one is none. */
+export function isSameId(one: string | undefined, other: string | undefined): boolean {
+    return (one ?? "") === (other ?? "");
+}
+
 /** Sends the request of an exchange to an upstream and classifies the outcome. */
 export async function sendRequest(
     exchange: exchanges.Exchange,
@@ -108,7 +113,8 @@
     exchange.beginCall(options.call, upstream);
     const incarnation = routing.incarnationOf(upstream);
     // Responses to both sends bear the same id, so that a late copy of the first could be taken for the second.
-    const ownConnection = exchange.sentTo.has(incarnation);
+    // Without an id, nothing tells them from responses to control calls.
+    const ownConnection = exchange.sentTo.has(incarnation) || !metadata.requestId;
     exchange.sentTo.add(incarnation);
     const outcome = await calls.startCall(context.agent, {
         address: upstream.address,
@@ -116,7 +122,7 @@
         ownConnection,
         findMismatch: (headers) => {
             const { requestId } = context.wireFormat.parseResponse(headers);
-            return requestId === metadata.requestId
+            return isSameId(requestId, metadata.requestId)
                 ? undefined
                 : `response to request ${requestId ?? "without an id"}`;
         },
@@ -197,7 +203,7 @@
     return dispatch.proofOfAnswer({
         status: outcome.response.statusCode ?? 0,
         isMarked: notRun,
-        namesRequest: requestId === metadata.requestId,
+        namesRequest: isSameId(requestId, metadata.requestId),
     });
 }
 
--- a/packages/gateway/test/promises.test.ts
+++ b/packages/gateway/test/promises.test.ts
@@ -1,11 +1,15 @@
 import * as routing from "@citronlead/routing";
+import * as testing from "@citronlead/testing";
 import * as chai from "chai";
+import type * as net from "node:net";
 import * as fixtures from "./fixture.js";
 
 const PORT_OFFSET = 4_700;
 const RELAY_PORT_OFFSET = 4_720;
+const EVENTS = "id: 1\ndata: a\n\n";
 const PROMPT = { "prompt-tokens": "500", "output-tokens": "100" };
 const REFUSAL = "citronlead-relay-refusal";
+const UNNAMED_REFUSAL = "HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
 
 const isRun = ({ path }: fixtures.Received) => /^\/(book|look|write|resume)\//.test(path);
 
@@ -75,6 +79,34 @@
             chai.expect(runs().length).to.equal(2);
         });
     }
+
+    it("do not rest on a refused reservation whose answer comes late, for requests without an id", async () => {
+        const usedForControl = new Set<net.Socket>();
+        fixture.standIns.forEach((standIn) =>
+            standIn.behave = (received, response, request) => {
+                if (!isRun(received)) {
+                    usedForControl.add(request.socket);
+                    response.end(JSON.stringify({ id: "reservation" }));
+                }
+                else if (usedForControl.has(request.socket)) {
+                    request.socket.write(UNNAMED_REFUSAL);
+                }
+                else {
+                    response.writeHead(200, { signature: "s" }).end(EVENTS);
+                }
+            }
+        );
+        for (let sent = 1; sent <= 3; sent++) {
+            const caller = new testing.RawCaller(testing.testPortBase(PORT_OFFSET));
+            caller.socket.write(
+                "GET /write/1 HTTP/1.1\r\nHost: shop.example\r\nkey: key-1\r\nprompt-tokens: 500\r\n"
+                    + "output-tokens: 100\r\nConnection: close\r\n\r\n",
+            );
+            await caller.closed;
+            chai.expect(runs().length).to.equal(sent);
+            chai.expect(caller.responses[0]?.status).to.equal(200);
+        }
+    });
 });
 
 // Guards against promises of another host that are not about the request, or are an upstream's own.
