REFUSED, TWICE: another host's refusal counts only if it names the request

A host that asked another took any refusal on the connection for that of its request, passed it on as a promise, or asked a third host. Our hosts are not known to mix up answers; the check costs nothing and leaves one proof less to trust. Hosts have always repeated the id in refusals (refusalHeaders), the release in production too; an answer with another id is lost (502). promises.test: 2 cases failed before (503 instead of 502), none after.

--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -6,6 +6,7 @@
 import * as headers from "../headers.js";
 import * as streams from "../model/relay.js";
 import * as regions from "../regions.js";
+import * as sends from "../send.js";
 import * as agents from "../upstream/agent.js";
 import * as calls from "../upstream/call.js";
 import * as envelopes from "./envelope.js";
@@ -70,6 +71,13 @@
             const outcome = await calls.startCall(this.agent, {
                 address: host,
                 incarnation: host,
+                ownConnection: !metadata.requestId,
+                findMismatch: (received) => {
+                    const { requestId } = context.wireFormat.parseResponse(received);
+                    return sends.isSameId(requestId, metadata.requestId)
+                        ? undefined
+                        : `response to request ${requestId ?? "without an id"}`;
+                },
                 method: request.method ?? "GET",
                 path: request.url ?? "/",
                 headers: [
--- a/packages/gateway/test/promises.test.ts
+++ b/packages/gateway/test/promises.test.ts
@@ -148,4 +148,13 @@
             chai.expect(asked()).to.equal(1);
         }
     });
+
+    for (const reason of ["unreachable", "overQuota"]) {
+        it(`do not rest on another host's refusal (${reason}) that names another request`, async () => {
+            const behave: fixtures.Behaviour = (_, response) =>
+                void response.writeHead(503, { ...refusal(reason), "request-id": "r-2" }).end();
+            chai.expect((await answer(behave)).status).to.equal(502);
+            chai.expect(asked()).to.equal(1);
+        });
+    }
 });
