Merge: promises are proved, by a ledger of the sends of a request

Conflicts with the evidence in the log: the proofs of the ledger are the one enumeration of what a promise rests on, under the names that operators have (unconnected, marked, wrongUpstream, hostRefusal); dispatch.isPromise alone knows the statuses.

--- a/packages/gateway/src/evidence.ts
+++ b/packages/gateway/src/evidence.ts
@@ -1,35 +1,28 @@
+import * as dispatch from "@citronlead/dispatch";
 import type * as callrecords from "./callrecord.js";
 import type * as contexts from "./context.js";
 import type * as metrics from "./metrics.js";
 import * as calls from "./upstream/call.js";
 
-/** On what it rests that a send did not run its request, strongest first. */
-export enum Basis {
-    /** No send was made. */
-    NothingSent = "nothingSent",
-    /** The connection was never established. */
-    Unconnected = "unconnected",
-    /** Another upstream at the address answered. */
-    WrongUpstream = "wrongUpstream",
-    /** The upstream's answer says that it was not run. */
-    Marked = "marked",
-    /** Another host's refusal. */
-    HostRefusal = "hostRefusal",
-    /** Nothing: the send may have run it. */
-    Unproved = "unproved",
-}
+/** On what it rests that a send did not run its request. */
+export type Basis = dispatch.NotRunProof | dispatch.PromiseBasis.NothingSent | typeof UNPROVED;
 
-/** Statuses that tell a caller that its request was not run and never will be. */
-const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Nothing shows that the send has not run the request. */
+export const UNPROVED = "unproved";
 
-/** Whether a final status promises that the request was not run. */
-export function promisesNotRun(status: number): boolean {
-    return PROMISING_STATUSES.has(status);
-}
+/** Weakest last. */
+const BASES: readonly Basis[] = [
+    dispatch.PromiseBasis.NothingSent,
+    dispatch.NotRunProof.NotConnected,
+    dispatch.NotRunProof.WrongUpstream,
+    dispatch.NotRunProof.UpstreamRefusal,
+    dispatch.NotRunProof.HostRefusal,
+    UNPROVED,
+];
 
 /** How a send ended, beside its result; without an outcome if it is under way when its request ends. */
 export interface SendEvidence {
-    readonly basis: Basis;
+    readonly proof: dispatch.NotRunProof | undefined;
     readonly outcome?: calls.CallOutcome;
 }
 
@@ -52,8 +45,7 @@
 
     /** The weakest of what the sends rest on. */
     get weakest(): Basis {
-        const strength = Object.values(Basis);
-        return strength[Math.max(0, ...this.bases.map((basis) => strength.indexOf(basis)))] ?? Basis.NothingSent;
+        return BASES[Math.max(0, ...this.bases.map((basis) => BASES.indexOf(basis)))] as Basis;
     }
 
     /** Takes in a call, which is no send without evidence, and counts one that follows others. Returns what is logged. */
@@ -65,21 +57,21 @@
             if (this.bases.length > 0) {
                 this.metrics.resends.inc({ call, kind: this.kind, basis: this.weakest });
             }
-            this.bases.push(evidence.basis);
+            this.bases.push(evidence.proof ?? UNPROVED);
         }
         return describe(evidence);
     }
 }
 
 /** What is logged of a send's evidence. Nothing of a success, to which it adds nothing. */
-function describe({ basis, outcome }: SendEvidence): callrecords.CallEvidence {
+function describe({ proof, outcome }: SendEvidence): callrecords.CallEvidence {
     const responded = outcome?.progress === calls.CallProgress.Responded;
     if (!outcome?.trace || (responded && (outcome.response.statusCode ?? 0) < 300)) {
         return {};
     }
     const { connection, use, answeredMs, writtenBytes } = outcome.trace;
     return {
-        ...(basis === Basis.Unproved ? {} : { basis }),
+        ...(proof === undefined ? {} : { basis: proof }),
         ...(connection > 0 ? { connection } : {}),
         ...(use > 1 ? { use } : {}),
         ...(answeredMs === undefined ? {} : { answeredMs }),
--- a/packages/gateway/src/outcome.ts
+++ b/packages/gateway/src/outcome.ts
@@ -1,6 +1,6 @@
 import * as decision from "@citronlead/decision";
+import * as dispatch from "@citronlead/dispatch";
 import type * as contexts from "./context.js";
-import * as evidences from "./evidence.js";
 import * as exchanges from "./exchange.js";
 
 /** Outcomes of requests that tell how long such requests take, or at least. */
@@ -26,7 +26,7 @@
         context.durationForecast.observe(exchange.route.name, now - exchange.startedAt);
     }
     const { evidence } = exchange;
-    if (evidences.promisesNotRun(status)) {
+    if (dispatch.isPromise(status)) {
         const basis = evidence.weakest;
         context.metrics.notRunAnswers.inc({ service: exchange.service, status: String(status), basis });
     }
@@ -49,6 +49,7 @@
         resumedRequestId: exchange.metadata.resumedRequestId,
         outcome: reason,
         status,
+        promiseBasis: exchange.runs.basisOf(status),
         tookMs: Math.round(now - exchange.startedAt),
         steps: exchange.callRecords,
         configuration: active?.table.configuration.version,
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -2,11 +2,11 @@
 import * as dispatch from "@citronlead/dispatch";
 import type * as http from "node:http";
 import * as background from "../background.js";
-import * as evidences from "../evidence.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
 import * as streams from "../model/relay.js";
 import * as regions from "../regions.js";
+import * as sends from "../send.js";
 import * as agents from "../upstream/agent.js";
 import * as calls from "../upstream/call.js";
 import * as envelopes from "./envelope.js";
@@ -47,10 +47,11 @@
             .filter((host) => host !== `${address}:${port}` && regions.mayReachHost(exchange, host));
         const ranked = this.relayHosts.rank(others, context.clock(), context.random).slice(0, MAX_HOSTS);
         for (const host of ranked) {
-            if (exchange.isOver) {
-                return true;
+            const run = exchange.runs.tryEnter();
+            if (!run) {
+                return exchange.isOver;
             }
-            if (await this.relayTo(exchange, host) === RelayAnswer.Final) {
+            if (await this.relayTo(exchange, host, run) === RelayAnswer.Final) {
                 return true;
             }
             this.relayHosts.recordUnable(host, context.clock());
@@ -58,18 +59,27 @@
         return exchange.isOver;
     }
 
-    private async relayTo(exchange: exchanges.Exchange, host: string): Promise<RelayAnswer> {
-        const { context, request } = exchange;
+    private async relayTo(
+        exchange: exchanges.Exchange,
+        host: string,
+        run: dispatch.RunEntry,
+    ): Promise<RelayAnswer> {
+        const { context, request, metadata } = exchange;
         const startedAt = context.clock();
         const close = this.relayHosts.open(host);
-        const mayHaveRun = exchange.mayHaveRun;
-        exchange.mayHaveRun = true;
-        const record = (result: string, evidence: evidences.SendEvidence) =>
-            exchange.recordCall("relay", { id: host, softwareVersion: "" }, result, startedAt, evidence);
+        const record = (result: string, proof: dispatch.NotRunProof | undefined, outcome: calls.CallOutcome) =>
+            exchange.recordCall("relay", { id: host, softwareVersion: "" }, result, startedAt, { proof, outcome });
         try {
             const outcome = await calls.startCall(this.agent, {
                 address: host,
                 incarnation: host,
+                ownConnection: !metadata.requestId,
+                findMismatch: (received) => {
+                    const { requestId } = context.wireFormat.parseResponse(received);
+                    return sends.isSameId(requestId, metadata.requestId)
+                        ? undefined
+                        : `response to request ${requestId ?? "without an id"}`;
+                },
                 method: request.method ?? "GET",
                 path: request.url ?? "/",
                 headers: [
@@ -81,14 +91,16 @@
                 ],
                 body: exchange.body,
                 headersTimeoutMs: exchange.remainingMs,
+                run,
                 signal: exchange.signal,
             });
             if (outcome.progress !== calls.CallProgress.Responded) {
-                const isUnsent = outcome.progress === calls.CallProgress.NotSent;
-                const basis = isUnsent ? evidences.Basis.Unconnected : evidences.Basis.Unproved;
-                record(`${outcome.progress}: ${outcome.reason}`, { basis, outcome });
-                if (outcome.progress === calls.CallProgress.NotSent) {
-                    exchange.mayHaveRun = mayHaveRun;
+                const proof = outcome.progress === calls.CallProgress.NotSent
+                    ? dispatch.NotRunProof.NotConnected
+                    : undefined;
+                record(`${outcome.progress}: ${outcome.reason}`, proof, outcome);
+                if (proof !== undefined) {
+                    run.prove(proof);
                     return RelayAnswer.Unable;
                 }
                 exchange.refuseAsLost();
@@ -97,13 +109,14 @@
             const { response } = outcome;
             const leaving = envelopes.parseLeaving(response.headers);
             if (leaving !== undefined) {
-                const { requestId } = exchange.metadata;
+                const { requestId } = metadata;
                 context.notices.observeRelayed(leaving, { call: `relay by ${host}`, requestId });
             }
             const refusal = envelopes.parseRefusal(response.headers);
-            const isNotRun = refusal !== undefined && NOT_RUN_STATUSES.has(response.statusCode ?? 0);
-            const basis = isNotRun ? evidences.Basis.HostRefusal : evidences.Basis.Unproved;
-            record(`${response.statusCode} ${refusal?.reason ?? ""}`.trimEnd(), { basis, outcome });
+            const status = response.statusCode ?? 502;
+            const isNotRun = refusal !== undefined && dispatch.isPromise(status);
+            const proof = isNotRun ? dispatch.NotRunProof.HostRefusal : undefined;
+            record(`${status} ${refusal?.reason ?? ""}`.trimEnd(), proof, outcome);
             if (!UNABLE_REASONS.has(refusal?.reason ?? "")) {
                 this.relayHosts.recordAble(host);
             }
@@ -117,10 +130,11 @@
                 await relayResponse(exchange, response);
                 return RelayAnswer.Final;
             }
+            if (proof !== undefined) {
+                run.prove(proof);
+            }
             await calls.readBody(response, REFUSAL_TIMEOUT_MS, MAX_REFUSAL_BYTES);
-            const status = response.statusCode ?? 502;
-            exchange.mayHaveRun = mayHaveRun || !NOT_RUN_STATUSES.has(status);
-            if (UNABLE_REASONS.has(refusal.reason) && NOT_RUN_STATUSES.has(status)) {
+            if (UNABLE_REASONS.has(refusal.reason) && proof !== undefined) {
                 return RelayAnswer.Unable;
             }
             const reason = Object.values(exchanges.FinalReason).find((known) => known === refusal.reason);
@@ -137,9 +151,6 @@
     }
 }
 
-/** Statuses with which a host promises that it has not run a request and never will. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** Refusals after which another host may serve the request. */
 const UNABLE_REASONS: ReadonlySet<string> = new Set([
     exchanges.FinalReason.Unreachable,
@@ -153,11 +164,14 @@
     const pieces = new decision.TokenBucket(streams.STREAM_PIECES, context.clock());
     const status = source.statusCode ?? 502;
     const length = source.headers["content-length"];
-    exchange.beginResponse(
-        status,
-        headers.responseHeaders(source.rawHeaders, length === undefined ? undefined : Number(length)),
-        true,
+    const relayedHeaders = headers.responseHeaders(
+        source.rawHeaders,
+        length === undefined ? undefined : Number(length),
     );
+    if (!exchange.beginResponse(status, relayedHeaders, true)) {
+        source.destroy();
+        return Promise.resolve();
+    }
     return new Promise((resolve, reject) => {
         const fail = (error: unknown) => {
             source.destroy();
--- a/packages/gateway/test/evidence.test.ts
+++ b/packages/gateway/test/evidence.test.ts
@@ -1,3 +1,4 @@
+import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
 import * as chai from "chai";
 import * as evidences from "../src/evidence.js";
@@ -59,12 +60,13 @@
     });
 
     it("is the weakest of several sends, and of none without sends", () => {
-        const { Basis, EvidenceOfSends } = evidences;
+        const { EvidenceOfSends, UNPROVED } = evidences;
+        const { NotConnected, UpstreamRefusal } = dispatch.NotRunProof;
         const evidence = new EvidenceOfSends("streaming", metrics.makeGatewayMetrics(() => 0));
-        chai.expect(evidence.weakest).to.equal(Basis.NothingSent);
-        evidence.record("decode", { basis: Basis.Unproved });
-        evidence.record("prefill", { basis: Basis.Marked });
-        evidence.record("decode", { basis: Basis.Unconnected });
-        chai.expect(evidence).to.include({ weakest: Basis.Unproved, sends: 2 });
+        chai.expect(evidence.weakest).to.equal(dispatch.PromiseBasis.NothingSent);
+        evidence.record("decode", { proof: undefined });
+        evidence.record("prefill", { proof: UpstreamRefusal });
+        evidence.record("decode", { proof: NotConnected });
+        chai.expect(evidence).to.include({ weakest: UNPROVED, sends: 2 });
     });
 });
--- a/packages/gateway/test/notsentcalls.ts
+++ b/packages/gateway/test/notsentcalls.ts
@@ -58,6 +58,7 @@
             headers: ["Host", "one"],
             body: Buffer.from("order"),
             headersTimeoutMs: random.fraction() < 0.3 ? random.fraction() * MAX_DELAY_MS : 1_000,
+            run: undefined,
             signal: aborter.signal,
         });
         if (outcome.progress === calls.CallProgress.NotSent) {
