Promises at exits: while a connection is opened

A server that stands still with a full queue takes no connection; requests to it end at their deadline, at the connect time-out and at a stop, and the server is woken afterwards. A 503 is right only if it then finds no byte of the request.

--- a/packages/gateway/test/promiseexits.test.ts
+++ b/packages/gateway/test/promiseexits.test.ts
@@ -1,6 +1,8 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import * as chai from "chai";
+import * as net from "node:net";
+import * as threads from "node:worker_threads";
 import * as fixtures from "./fixture.js";
 
 const PORT_OFFSET = 4_740;
@@ -10,6 +12,39 @@
 const SETTLE_MS = 100;
 const EVENTS = "id: 1\ndata: a\n\n";
 
+/** Listens and stands still until it is woken, then tells of what it is sent. */
+const STALLED_SERVER = `
+    const { parentPort, workerData } = require("node:worker_threads");
+    const server = require("node:net").createServer((socket) =>
+        socket.on("error", () => undefined).on("data", (bytes) => parentPort.postMessage(String(bytes)))
+    ).listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => {
+        parentPort.postMessage(server.address().port);
+        setImmediate(() => Atomics.wait(workerData, 0, 0));
+    });`;
+
+/** Opens a port at which no connection is established, as its queue is full, until it is woken. */
+async function openFullPort(scope: lifecycle.Scope) {
+    const state = new Int32Array(new SharedArrayBuffer(4));
+    const worker = new threads.Worker(STALLED_SERVER, { eval: true, workerData: state });
+    const port = await new Promise<number>((resolve) => worker.once("message", resolve));
+    const arrived: string[] = [];
+    worker.on("message", (text: string) => arrived.push(text));
+    const fillers = Array.from(
+        { length: 8 },
+        () => net.connect({ host: "127.0.0.1", port }).on("error", () => undefined),
+    );
+    scope.defer(async () => {
+        fillers.forEach((filler) => filler.destroy());
+        await worker.terminate();
+    });
+    await lifecycle.pause(scope, SETTLE_MS);
+    const wake = () => {
+        Atomics.store(state, 0, 1);
+        Atomics.notify(state, 0);
+    };
+    return { port, arrived, wake };
+}
+
 // Guards against promises that leave at the deadline, a stop or a refusal while a send may still run the request.
 describe("At each exit, a gateway", () => {
     let fixture: fixtures.Fixture;
@@ -136,6 +171,26 @@
         chai.expect(ran).to.have.members(ids.filter((_, index) => statuses[index] === 200).map((id) => `/write/${id}`));
     });
 
+    it("promises at the deadline or a stop while it connects only if nothing is sent later", async () => {
+        const full = await openFullPort(fixture.scope);
+        for (const standIn of plain) {
+            standIn.upstream = { ...standIn.upstream, address: `127.0.0.1:${full.port}` };
+        }
+        await start({ timeoutMs: LONG_TIMEOUT_MS });
+        const statuses = [
+            (await send("/book/1", 2 * SETTLE_MS)).status,
+            (await send("/book/2")).status,
+            (await sendAndStop("/book/3")).status,
+        ];
+        full.wake();
+        await lifecycle.pause(fixture.scope, 10 * SETTLE_MS);
+        chai.expect(statuses).to.not.include(200);
+        for (const [index, status] of statuses.entries()) {
+            const hasArrived = full.arrived.join("").includes(`/book/${index + 1}`);
+            chai.expect(hasArrived && status === 503, `/book/${index + 1}, ${status}`).to.equal(false);
+        }
+    });
+
     it("promises nothing at the deadline or a stop within another host's work on the request", async () => {
         unreach();
         host.behave = hang;
