--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -62,6 +62,12 @@
 
 /** Why a request is not sent to an upstream in a region that it may not use. */
 const OTHER_REGION = "region not allowed";
+const REQUEST_OVER = "the request is over";
+
+/** Whether two ids are the same; an empty one is none. */
+export function isSameId(one: string | undefined, other: string | undefined): boolean {
+    return (one ?? "") === (other ?? "");
+}
 
 /** Sends the request of an exchange to an upstream and classifies the outcome. */
 export async function sendRequest(
@@ -87,7 +93,6 @@
         exchange.recordCall(options.call, upstream, `not sent: ${refusal}`, startedAt);
         return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason: refusal };
     }
-    exchange.beginCall(options.call, upstream);
     const forwarding: wires.ForwardingMetadata = {
         expectedUpstream: upstream.id,
         timeLeftMs: Math.max(MIN_FORWARDED_TIMEOUT_MS, Math.floor(exchange.remainingMs)),
@@ -98,28 +103,44 @@
         reservation: options.reservation,
         resumeAfterEventId: options.resumeAfterEventId,
     };
+    const headers = context.wireFormat.upstreamHeaders(request.rawHeaders, forwarding);
+    const run = options.prefillOnly ? undefined : exchange.runs.tryEnter();
+    if (!options.prefillOnly && !run) {
+        const reason = exchange.isOver ? REQUEST_OVER : "may have run";
+        exchange.permits.settle(permit, dispatch.SendEnd.NotArrived);
+        exchange.recordCall(options.call, upstream, `not sent: ${reason}`, startedAt);
+        return { kind: SendKind.NotRun, result: dispatch.SendResult.Excluded, reason };
+    }
+    exchange.beginCall(options.call, upstream);
     const incarnation = routing.incarnationOf(upstream);
     const outcome = await calls.startCall(context.agent, {
         address: upstream.address,
         incarnation,
         id: metadata.requestId,
         // An answer without an id could be to any other call.
-        ownConnection: metadata.requestId === undefined,
+        ownConnection: !metadata.requestId,
         findMismatch: (headers) => {
             const { requestId } = context.wireFormat.parseResponse(headers);
-            return requestId === metadata.requestId ? undefined : `response to request ${requestId ?? "without an id"}`;
+            return isSameId(requestId, metadata.requestId)
+                ? undefined
+                : `response to request ${requestId ?? "without an id"}`;
         },
         method: request.method ?? "GET",
         path: request.url ?? "/",
-        headers: context.wireFormat.upstreamHeaders(request.rawHeaders, forwarding),
+        headers,
         body: exchange.body,
         headersTimeoutMs: Math.min(options.headersTimeoutMs, exchange.remainingMs),
+        run,
         signal: exchange.signal,
     });
+    const proof = findProof(exchange, outcome);
+    if (proof !== undefined) {
+        run?.prove(proof);
+    }
     context.reachability.record(upstream, outcome);
     context.observations.record(upstream, outcome, notices.isWrongUpstream(outcome), startedAt);
     evidences.reportForeignAnswer(context, upstream.id, options.call, metadata.requestId, outcome);
-    const sent = await classifyOutcome(exchange, upstream, outcome, options.call, startedAt);
+    const sent = await classifyOutcome(exchange, upstream, outcome, proof, options.call, startedAt);
     const acceptedPrefill = options.prefillOnly && sent.kind === SendKind.Response && sent.response.statusCode === 200;
     const arrived = outcome.progress !== calls.CallProgress.NotSent;
     exchange.permits.settle(
@@ -131,7 +152,7 @@
             : dispatch.SendEnd.NotArrived,
     );
     const text = sent.kind === SendKind.Response ? String(sent.response.statusCode) : `${sent.kind}: ${sent.reason}`;
-    exchange.recordCall(options.call, upstream, text, startedAt, { basis: basisOf(sent), outcome });
+    exchange.recordCall(options.call, upstream, text, startedAt, { proof, outcome });
     recordHealth(health, sent, exchange.isOver, context.clock());
     if (sent.kind === SendKind.Lost && sent.failure === calls.CallFailure.Broken) {
         const decoding = !(options.prefillOnly ?? false);
@@ -140,21 +161,6 @@
     return sent;
 }
 
-/** On what the outcome of a send rests. */
-function basisOf(sent: SendOutcome): evidences.Basis {
-    if (sent.kind !== SendKind.NotRun) {
-        return evidences.Basis.Unproved;
-    }
-    switch (sent.result) {
-        case dispatch.SendResult.Unreachable:
-            return evidences.Basis.Unconnected;
-        case dispatch.SendResult.Excluded:
-            return evidences.Basis.WrongUpstream;
-        default:
-            return evidences.Basis.Marked;
-    }
-}
-
 /** Waits for a send's turn at an upstream that warms up. Returns why nothing is sent, undefined if it is the request's turn. */
 async function refuseWarmUpTurn(
     exchange: exchanges.Exchange,
@@ -173,7 +179,7 @@
             if (permit.granted) {
                 permit.refund();
             }
-            return exclusion ?? "the request is over";
+            return exclusion ?? REQUEST_OVER;
         }
         if (permit.granted) {
             return undefined;
@@ -185,10 +191,27 @@
     }
 }
 
+/** What shows that a call did not run the request and will not run it. */
+function findProof(
+    { context, metadata }: exchanges.Exchange,
+    outcome: calls.CallOutcome,
+): dispatch.NotRunProof | undefined {
+    if (outcome.progress !== calls.CallProgress.Responded) {
+        return outcome.progress === calls.CallProgress.NotSent ? dispatch.NotRunProof.NotConnected : undefined;
+    }
+    const { requestId, notRun } = context.wireFormat.parseResponse(outcome.response.headers);
+    return dispatch.proofOfAnswer({
+        status: outcome.response.statusCode ?? 0,
+        isMarked: notRun,
+        namesRequest: isSameId(requestId, metadata.requestId),
+    });
+}
+
 async function classifyOutcome(
     exchange: exchanges.Exchange,
     upstream: routing.Upstream,
     outcome: calls.CallOutcome,
+    proof: dispatch.NotRunProof | undefined,
     call: string,
     sentAt: decision.Milliseconds,
 ): Promise<SendOutcome> {
@@ -208,7 +231,7 @@
     if (!wrongUpstream && (metadata.limitPerSecond !== undefined || !metadata.notRun)) {
         exchange.context.limits.observe(upstream, metadata.limitPerSecond, sentAt);
     }
-    if (metadata.notRun || wrongUpstream) {
+    if (proof !== undefined) {
         await calls.readBody(response, REFUSAL_BODY_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
         return {
             kind: SendKind.NotRun,
@@ -216,6 +239,11 @@
             reason: `${wrongUpstream ? "another upstream" : "refused"} ${response.statusCode}`,
         };
     }
+    if (metadata.notRun) {
+        response.destroy();
+        const reason = `status ${response.statusCode} marked as not run`;
+        return { kind: SendKind.Lost, reason, failure: calls.CallFailure.Malformed };
+    }
     return { kind: SendKind.Response, response, metadata };
 }
 
@@ -291,6 +319,7 @@
         ],
         body,
         headersTimeoutMs: timeoutMs,
+        run: undefined,
         signal: undefined,
     });
     context.reachability.record(upstream, outcome);
