Run ledger: a struck entry gives no leave to send

Callers saw nothing: no code begins a send after its proof. An entry that was struck could still begin, and its send then had no entry, so that a promise or a second send was allowed beside it.

--- a/packages/dispatch/src/runledger.ts
+++ b/packages/dispatch/src/runledger.ts
@@ -84,7 +84,7 @@
         let begun = false;
         const entry: RunEntry = {
             tryBegin: () => {
-                const may = !begun && !this.closed;
+                const may = !begun && !this.closed && this.unproven.has(entry);
                 begun = true;
                 return may;
             },
--- a/packages/dispatch/test/runledger.seeded.test.ts
+++ b/packages/dispatch/test/runledger.seeded.test.ts
@@ -41,6 +41,7 @@
                     chai.expect(may && (send.hasLeft || isFinal), "begun twice, or after the final answer").to.equal(
                         false,
                     );
+                    chai.expect(may && send.proof !== undefined, "begun after it was struck").to.equal(false);
                     send.hasLeft ||= may;
                 }
                 else if (kind === "prove" && send) {
