Evidence: a request that ends while its only send is under way has no second send

The metric resends counted one, with basis "unproved", for every request that was sent once and reached its deadline, or whose caller left, before the answer: finish() records the send, and the aborted send was recorded again. An on-call engineer would take it for TWICE. evidence.test, "counts no second send of a request that was sent once and ends while the send is under way": before, resends{call=run, kind=nonIdempotent,basis=unproved} 1 after one send; now none. What comes after the final answer adds nothing.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -234,7 +234,7 @@
             result,
             startedMs: Math.round(startedAt - this.startedAt),
             tookMs: Math.round(clock() - startedAt),
-            ...this.evidence.record(call, evidence),
+            ...(this.finished ? {} : this.evidence.record(call, evidence)),
         });
     }
 
--- a/packages/gateway/test/evidence.test.ts
+++ b/packages/gateway/test/evidence.test.ts
@@ -41,6 +41,15 @@
         chai.expect(await linesOf("not_run_answers")).to.deep.equal([]);
     });
 
+    it("counts no second send of a request that was sent once and ends while the send is under way", async () => {
+        const silent = await fixture.addStandIn("u-1");
+        silent.behave = () => undefined;
+        await fixture.start(fixtures.makeConfiguration());
+        chai.expect((await fixture.send({ method: "POST", headers: { patience: "300" } })).status).to.equal(504);
+        chai.expect(await linesOf("resends")).to.deep.equal([]);
+        chai.expect(silent.received.length).to.equal(1);
+    });
+
     it("counts answers that belong to other calls, to runs and to reservations", async () => {
         const engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
         const late = "HTTP/1.1 503 Full\r\nnot-run: 1\r\nrequest-id: other\r\nContent-Length: 0\r\n\r\n";
