--- a/packages/gateway/test/latecopies.test.ts
+++ b/packages/gateway/test/latecopies.test.ts
@@ -1,3 +1,4 @@
+import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import * as chai from "chai";
 import type * as net from "node:net";
@@ -77,4 +78,34 @@
         chai.expect({ status, body }).to.deep.equal({ status: 200, body: EVENTS });
         chai.expect(new Set(runs).size, "connections of the runs").to.equal(2);
     });
+
+    it("of a granted reservation do not lead to a run with a reservation that the gateway has released", async () => {
+        const copyDueOn = new Map<net.Socket, string>();
+        let granted = 0;
+        const released: unknown[] = [];
+        const usedByRuns: unknown[] = [];
+        engine.behave = (received, response, { socket }) => {
+            if (received.method === "DELETE") {
+                released.push(received.path.split("/").at(-1));
+                response.end("{}");
+                return;
+            }
+            if (received.path === "/reserve") {
+                const body = JSON.stringify({ id: `h-${++granted}` });
+                socket.write(copyDueOn.get(socket) ?? "");
+                copyDueOn.delete(socket);
+                if (granted === 1) {
+                    copyDueOn.set(socket, `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+                }
+                response.end(body);
+                return;
+            }
+            usedByRuns.push(received.headers["reservation"]);
+            fixtures.signed(response, received, EVENTS);
+        };
+        await fixture.send({ path: "/write/1", headers });
+        await lifecycle.pause(fixture.scope, 100);
+        chai.expect(usedByRuns.length).to.equal(1);
+        chai.expect(released).to.not.include(usedByRuns[0]);
+    });
 });
