--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -316,11 +316,7 @@
     /** Refuses the request if it is barred from upstreams by now. Returns whether it is over. */
     refuseIfBarred(): boolean {
         if (!this.finished && this.context.quarantine.isBarred(this.fingerprints)) {
-            this.refuse({
-                status: 503,
-                reason: FinalReason.ContentBarred,
-                retryAfterMs: BARRED_RETRY_AFTER_MS,
-            });
+            this.refuse({ status: 503, reason: FinalReason.ContentBarred, retryAfterMs: BARRED_RETRY_AFTER_MS });
         }
         return this.finished;
     }
@@ -331,10 +327,7 @@
         return this.finished;
     }
 
-    /**
-     * Refuses the request, or aborts its response if a part has already been sent. A status that promises that the request has
-     * not run is replaced if it may have.
-     */
+    /** Refuses the request, without a promise if it may have run, or aborts its response if a part has already been sent. */
     refuse(refusal: Refusal): void {
         if (this.finished) {
             return;
