Copy small pieces of bodies out of the buffers they were read into

Callers saw nothing yet: an upstream, or a caller, that puts 16 KB of chunk extensions before each byte of a body made its host hold 64 KiB for four bytes, counted as a thousand. A piece is a slice, which keeps the whole buffer of its read alive. A thousand pieces of a byte held 65 MB of buffers before; the test failed with that on the former code and passes now. A slice of less than half of its buffer is copied, so that no more than twice what is counted is held.

--- a/packages/bodies/src/collector.ts
+++ b/packages/bodies/src/collector.ts
@@ -22,6 +22,11 @@
 
     constructor(private readonly limitBytes: number, private readonly memory: memories.Memory) {}
 
+    /** Size of what was added. */
+    get length(): number {
+        return this.lengthBytes;
+    }
+
     /** Adds a piece, unless a bound is reached. */
     add(piece: Buffer): AddResult {
         const maxPieces = Math.max(MIN_PIECES, this.limitBytes / PIECE_OVERHEAD_BYTES);
@@ -34,7 +39,7 @@
         }
         this.takenBytes += costBytes;
         this.lengthBytes += piece.length;
-        this.pieces.push(piece);
+        this.pieces.push(ownBytes(piece));
         return AddResult.Added;
     }
 
@@ -52,3 +57,13 @@
         this.takenBytes = 0;
     }
 }
+
+/** A piece that keeps no more than twice its bytes alive. */
+function ownBytes(piece: Buffer): Buffer {
+    if (2 * piece.length >= piece.buffer.byteLength) {
+        return piece;
+    }
+    const copy = Buffer.allocUnsafeSlow(piece.length);
+    piece.copy(copy);
+    return copy;
+}
--- a/packages/bodies/test/bodies.test.ts
+++ b/packages/bodies/test/bodies.test.ts
@@ -1,7 +1,12 @@
 import * as chai from "chai";
 import * as fastCheck from "fast-check";
+import * as v8 from "node:v8";
+import * as vm from "node:vm";
 import * as bodies from "../src/index.js";
 
+v8.setFlagsFromString("--expose-gc");
+const collectGarbage = vm.runInNewContext("gc") as () => void;
+
 const MEGABYTE = 1_048_576;
 const ONE_BYTE = Buffer.from("x");
 
@@ -30,6 +35,18 @@
             .to.equal(bodies.AddResult.Added);
     });
 
+    it("keeps no large buffer alive for a small piece of it", () => {
+        const collector = new bodies.BodyCollector(MEGABYTE, new bodies.MemoryBudget(MEGABYTE));
+        const before = process.memoryUsage().arrayBuffers;
+        for (let count = 0; count < 1_000; count++) {
+            collector.add(Buffer.allocUnsafeSlow(65_536).subarray(0, 1));
+        }
+        collectGarbage();
+        collectGarbage();
+        chai.expect(process.memoryUsage().arrayBuffers - before).to.be.below(MEGABYTE);
+        chai.expect(collector.finish().length).to.equal(1_000);
+    });
+
     it("returns the body and gives its memory back", () => {
         const memory = new bodies.MemoryBudget(1_000);
         for (let round = 0; round < 10; round++) {
