Relay long bodies as they arrive, and pace long answers

Callers saw closed connections and late answers while one upstream sent a body or events without end: a host read such answers as fast as they came, up to 16 MiB each, and its event loop had no time left. An answer of more than 16 MiB could not be relayed at all.

Bodies up to 128 KiB are still read whole. Longer ones go on as they arrive, no faster than the caller reads them; one that ends early is aborted, in chunks where it has no length. Time in which only the caller holds a body up does not count towards its deadline. A body that breaks off or is late counts as a failure. Memory of a request that is let go after its response is not taken off the next one's.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./limits.js";
 export * from "./newest.js";
 export * from "./observations.js";
+export * from "./pace.js";
 export * from "./permits.js";
 export * from "./placement.js";
 export * from "./queue.js";
--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -67,19 +67,24 @@
     readonly times: () => dispatch.PeerTimes;
 }
 
-/** Memory that is held for one request. */
+/** Memory that is held for one request, until its response has been sent. */
 class RequestMemory implements bodies.Memory {
     private heldBytes = 0;
+    private closed = false;
 
     constructor(private readonly holder: bodies.Holder, private readonly bodyGarbage: garbage.BodyGarbage) {}
 
     tryTake(bytes: number): boolean {
-        const taken = this.holder.tryTake(bytes);
+        const taken = !this.closed && this.holder.tryTake(bytes);
         this.heldBytes += taken ? bytes : 0;
         return taken;
     }
 
     release(bytes: number): void {
+        // What is let go after the response has been sent must not be taken off what the next request holds.
+        if (this.closed) {
+            return;
+        }
         this.holder.release(bytes);
         this.heldBytes -= bytes;
         this.bodyGarbage.add(bytes);
@@ -87,6 +92,7 @@
 
     releaseAll(): void {
         this.release(this.heldBytes);
+        this.closed = true;
     }
 }
 
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -42,6 +42,8 @@
     readonly durationForecast: dispatch.DurationForecast;
     readonly quarantine: quarantines.Quarantine;
     readonly limits: limits.UpstreamLimits;
+    readonly longBodies: dispatch.Pace;
+    readonly longStreams: dispatch.Pace;
     readonly observations: observations.UpstreamObservations;
     readonly turns: turns.HostTurns;
     readonly speeds: speeds.EngineSpeeds;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -93,6 +93,8 @@
     /** Whether an upstream responded to a call for it, such as a reservation. */
     hasContact = false;
     private countedAt: decision.Milliseconds | undefined;
+    /** For how long its caller has held the response up, which does not count towards the deadline. */
+    callerHeldMs: () => decision.Milliseconds = () => 0;
     /** Whether other hosts were asked to serve it. */
     wasOfferedToHosts = false;
 
@@ -359,7 +361,12 @@
     private onDeadline(): void {
         // The margin is for a final response that has to reach its caller; a stream that has begun goes on to the end.
         if (this.response.headersSent && !this.finished) {
-            this.deadlineTimer = setTimeout(() => this.abortResponse(FinalReason.TimedOut), RESPONSE_MARGIN_MS);
+            const leftMs = this.deadlineAt + RESPONSE_MARGIN_MS + this.callerHeldMs() - this.context.clock();
+            if (leftMs <= TIMER_RESOLUTION_MS) {
+                this.abortResponse(FinalReason.TimedOut);
+                return;
+            }
+            this.deadlineTimer = setTimeout(() => this.onDeadline(), Math.max(RESPONSE_MARGIN_MS, leftMs));
             return;
         }
         this.refuse({ status: this.mayHaveRun ? 504 : 503, reason: FinalReason.TimedOut, retryAfterMs: 0 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -239,6 +239,8 @@
         durationForecast,
         quarantine,
         limits: upstreamLimits,
+        longBodies: new dispatch.Pace(dispatch.LONG_BODIES, clock()),
+        longStreams: new dispatch.Pace(dispatch.LONG_STREAMS, clock()),
         observations: upstreamObservations,
         turns: hostTurns,
         speeds: engineSpeeds,
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -7,6 +7,7 @@
 import * as headers from "../headers.js";
 import * as quarantines from "../quarantine.js";
 import * as calls from "../upstream/call.js";
+import * as flows from "../upstream/flow.js";
 import * as events from "./events.js";
 
 /** How the relay of a stream ended. */
@@ -62,6 +63,7 @@
     });
     const eventsBefore = exchange.relayedEvents;
     const pieces = new decision.TokenBucket(STREAM_PIECES, context.clock());
+    const flow = new flows.AnswerFlow(source, context.longStreams, context.clock);
     let started = false;
     let outOfBounds = false;
     return new Promise((resolve, reject) => {
@@ -90,8 +92,7 @@
                 exchange.beginResponse(source.statusCode ?? 200, relayedHeaders, true);
             }
             if (!response.write(bytes)) {
-                source.pause();
-                response.once("drain", () => source.resume());
+                flow.waitForCaller(response);
             }
         };
         const onAbort = () => source.destroy();
@@ -105,6 +106,7 @@
                 source.destroy();
                 return;
             }
+            flow.onRead();
             const completeEvents = splitter.push(bytes);
             if (completeEvents) {
                 clearTimeout(timer);
@@ -120,7 +122,9 @@
             if (splitter.isRejected) {
                 source.destroy();
             }
-            else if (splitter.remainder.length > MAX_EVENT_BYTES || splitter.remainderPieces > MAX_EVENT_PIECES) {
+            else if (
+                splitter.remainder.length > MAX_EVENT_BYTES || splitter.remainderPieces > MAX_EVENT_PIECES
+            ) {
                 outOfBounds = true;
                 source.destroy();
             }
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -3,6 +3,7 @@
 import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import * as away from "./away.js";
+import * as bodyrelays from "./bodyrelay.js";
 import * as connections from "./connections.js";
 import * as exchanges from "./exchange.js";
 import * as headers from "./headers.js";
@@ -149,38 +150,56 @@
     }
 }
 
-/** Relays a response as a whole. Returns an effect if it cannot be relayed or a retry is preferable. */
+/**
+ * Relays a response: as a whole if it is short, else as it arrives. Returns an effect if it cannot be relayed or a retry is
+ * preferable.
+ */
 async function relayResponse(
     exchange: exchanges.Exchange,
     upstream: routing.Upstream,
     { response, metadata }: Extract<sends.SendOutcome, { kind: sends.SendKind.Response; }>,
     runs: number,
 ): Promise<dispatch.SendEffect | undefined> {
-    const body = await calls.readBody(
-        response,
-        exchange.remainingMs,
-        undefined,
-        connections.memoryOf(exchange.request),
-    );
+    const read = await calls.readStart(response, exchange.remainingMs, connections.memoryOf(exchange.request));
     const status = response.statusCode ?? 502;
     const success = status >= 200 && status < 300;
-    if (!body || response.headers["content-encoding"] !== undefined || (success && !metadata.signed)) {
+    if (read.kind === calls.BodyKind.Broken && (!exchange.isOver || bodyrelays.isPastRouteTimeout(exchange))) {
+        recordFailedBody(exchange, upstream, "broken off or late");
+    }
+    const isUsable = (read.kind === calls.BodyKind.Whole || read.kind === calls.BodyKind.Long)
+        && response.headers["content-encoding"] === undefined && (!success || metadata.signed);
+    if (!isUsable) {
+        response.destroy();
         return dispatch.SendEffect.MayHaveRun;
     }
+    const { body } = read;
     const framed = calls.isFramed(response);
+    const confirmEnd = () => liveness.isStillRunning(exchange.context, upstream);
     // Without a length and a body, the head itself may have been cut before the length.
     if (!framed && success && body.length === 0) {
         return dispatch.SendEffect.MayHaveRun;
     }
-    if (!framed && !(await liveness.isStillRunning(exchange.context, upstream))) {
+    if (!framed && read.kind === calls.BodyKind.Whole && !(await confirmEnd())) {
         return dispatch.SendEffect.MayHaveRun;
     }
     if (exchange.isOver) {
+        response.destroy();
         return undefined;
     }
     if (status >= 500 && mayRetryFailure(exchange, runs)) {
+        response.destroy();
         return dispatch.SendEffect.RanAndFailed;
     }
+    if (read.kind === calls.BodyKind.Long) {
+        const end = await bodyrelays.relayBody(exchange, { response, start: body, confirmEnd });
+        if (end === bodyrelays.BodyEnd.Complete) {
+            exchange.context.quarantine.recordServed(exchange);
+        }
+        else if (bodyrelays.SOURCE_FAILURES.has(end)) {
+            recordFailedBody(exchange, upstream, end);
+        }
+        return undefined;
+    }
     exchange.context.quarantine.recordServed(exchange);
     exchange.beginResponse(
         status,
@@ -191,6 +210,13 @@
     return undefined;
 }
 
+/** Counts an answer that did not come to its end as a failure of its upstream, so that others are preferred. */
+function recordFailedBody(exchange: exchanges.Exchange, upstream: routing.Upstream, result: string): void {
+    const { clock, pool } = exchange.context;
+    pool.healthOf(upstream).record(dispatch.SendResult.Failed, clock());
+    exchange.recordCall("body", upstream, result, clock());
+}
+
 /** Whether an error response is followed by a retry instead of being relayed. */
 function mayRetryFailure(exchange: exchanges.Exchange, runs: number): boolean {
     const { route } = exchange;
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -1,10 +1,7 @@
-import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
-import type * as http from "node:http";
-import * as background from "../background.js";
+import * as bodyrelays from "../bodyrelay.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
-import * as streams from "../model/relay.js";
 import * as regions from "../regions.js";
 import * as agents from "../upstream/agent.js";
 import * as calls from "../upstream/call.js";
@@ -107,7 +104,7 @@
                 return RelayAnswer.Final;
             }
             if (refusal === undefined) {
-                await relayResponse(exchange, response);
+                await bodyrelays.relayBody(exchange, { response, confirmEnd: () => Promise.resolve(false) });
                 return RelayAnswer.Final;
             }
             await calls.readBody(response, REFUSAL_TIMEOUT_MS, MAX_REFUSAL_BYTES);
@@ -139,48 +136,3 @@
     exchanges.FinalReason.NotReady,
     exchanges.FinalReason.HostStopping,
 ]);
-
-/** Relays an upstream's response that another host has relayed, as it arrives. */
-function relayResponse(exchange: exchanges.Exchange, source: http.IncomingMessage): Promise<void> {
-    const { context, response } = exchange;
-    const pieces = new decision.TokenBucket(streams.STREAM_PIECES, context.clock());
-    const status = source.statusCode ?? 502;
-    const length = source.headers["content-length"];
-    exchange.beginResponse(
-        status,
-        headers.responseHeaders(source.rawHeaders, length === undefined ? undefined : Number(length)),
-        true,
-    );
-    return new Promise((resolve, reject) => {
-        const fail = (error: unknown) => {
-            source.destroy();
-            reject(error);
-        };
-        const onAbort = () => source.destroy();
-        exchange.signal.addEventListener("abort", onAbort);
-        const onData = (bytes: Buffer) => {
-            if (!pieces.tryTake(context.clock())) {
-                source.destroy();
-                return;
-            }
-            if (!exchange.isOver && !response.write(bytes)) {
-                source.pause();
-                response.once("drain", () => source.resume());
-            }
-        };
-        const onClose = () => {
-            exchange.signal.removeEventListener("abort", onAbort);
-            if (calls.isComplete(source)) {
-                exchange.endResponse(
-                    status < 300 ? exchanges.FinalReason.Served : exchanges.FinalReason.UpstreamFailure,
-                );
-            }
-            else {
-                exchange.abortResponse(exchanges.FinalReason.StreamBroken);
-            }
-            resolve();
-        };
-        source.on("data", background.guardListener(fail, onData));
-        source.on("close", background.guardListener(fail, onClose));
-    });
-}
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -204,38 +204,93 @@
     return response.complete && !response.errored && (isFramed(response) || closedByUpstream.has(response));
 }
 
-/** Maximum size of a response body that is buffered before it is relayed. */
-const MAX_BUFFERED_BODY_BYTES = 16 * 1_048_576;
-/** Maximum size of all bodies that are buffered at a time: a part of the memory of the smallest hosts. */
-const MAX_TOTAL_BUFFERED_BYTES = 32 * 1_048_576;
+/** Maximum size of the body of an engine's failure. */
+const MAX_FAILURE_BODY_BYTES = 1_048_576;
+/** Maximum size of the start of a body that is read before any of it is relayed. */
+const MAX_START_BYTES = 131_072;
+/** What a body may take on its connection in relation to its limit: chunks may have extensions. */
+const MAX_WIRE_FACTOR = 4;
+/** Maximum size of all bodies of control calls that are being read: a part of the memory of the smallest hosts. */
+const MAX_TOTAL_CONTROL_BYTES = 8 * 1_048_576;
 /** Maximum size of the body of a response to a control call, such as a reservation. */
 export const MAX_CONTROL_BODY_BYTES = 65_536;
 
-const bufferedBodies = new bodies.MemoryBudget(MAX_TOTAL_BUFFERED_BYTES);
+const controlBodies = new bodies.MemoryBudget(MAX_TOTAL_CONTROL_BYTES);
 
 /**
  * Reads a whole response body into the given memory. Undefined if it is incomplete, longer than the limit or in too many pieces, does not fit in
  * memory beside the others, or takes too long; its connection is closed then.
  */
-export function readBody(
+export async function readBody(
     response: http.IncomingMessage,
     timeoutMs: decision.Milliseconds,
-    limitBytes = MAX_BUFFERED_BODY_BYTES,
-    memory: bodies.Memory = bufferedBodies,
+    limitBytes = MAX_FAILURE_BODY_BYTES,
+    memory: bodies.Memory = controlBodies,
 ): Promise<Buffer | undefined> {
+    const read = await readStart(response, timeoutMs, memory, limitBytes);
+    if (read.kind === BodyKind.Long) {
+        response.destroy();
+    }
+    return read.kind === BodyKind.Whole ? read.body : undefined;
+}
+
+/** What is known of a body whose start has been read. */
+export enum BodyKind {
+    Whole = "whole",
+    /** There is more of it than was read. */
+    Long = "long",
+    /** It is incomplete, was not complete in time, or comes in too many pieces. */
+    Broken = "broken",
+    /** There is no memory for it. */
+    NoMemory = "noMemory",
+}
+
+/** The start of a body; `body` is all that was read of it. The rest of a long one waits in its response, which is paused. */
+export type BodyStart =
+    | { readonly kind: BodyKind.Whole | BodyKind.Long; readonly body: Buffer; }
+    | { readonly kind: BodyKind.Broken | BodyKind.NoMemory; };
+
+/** Reads a response body up to a limit of bytes or pieces. Unless it is whole or long, its connection is closed. */
+export function readStart(
+    response: http.IncomingMessage,
+    timeoutMs: decision.Milliseconds,
+    memory: bodies.Memory = controlBodies,
+    limitBytes = MAX_START_BYTES,
+): Promise<BodyStart> {
     return new Promise((resolve) => {
         const collector = new bodies.BodyCollector(limitBytes, memory);
         const timer = setTimeout(() => response.destroy(), Math.max(1, timeoutMs));
-        response.on("data", (chunk: Buffer) => {
-            if (!response.destroyed && collector.add(chunk) !== bodies.AddResult.Added) {
+        const finish = (start: BodyStart) => {
+            clearTimeout(timer);
+            response.off("data", onData);
+            response.off("close", onClose);
+            collector.discard();
+            resolve(start);
+        };
+        const { socket } = response;
+        const bytesBefore = socket.bytesRead;
+        const onData = (piece: Buffer) => {
+            const added = response.destroyed ? bodies.AddResult.Added : collector.add(piece);
+            const isLong = added === bodies.AddResult.TooLong && collector.length + piece.length > limitBytes;
+            if (isLong || socket.bytesRead - bytesBefore > MAX_WIRE_FACTOR * limitBytes) {
+                response.pause();
+                const body = collector.finish();
+                finish({ kind: BodyKind.Long, body: isLong ? Buffer.concat([body, piece]) : body });
+            }
+            else if (added === bodies.AddResult.NoMemory) {
                 response.destroy();
-                collector.discard();
+                finish({ kind: BodyKind.NoMemory });
             }
-        });
-        response.on("close", () => {
-            clearTimeout(timer);
-            const body = collector.finish();
-            resolve(isComplete(response) ? body : undefined);
-        });
+            else if (added === bodies.AddResult.TooLong) {
+                response.destroy();
+                finish({ kind: BodyKind.Broken });
+            }
+        };
+        const onClose = () =>
+            finish(
+                isComplete(response) ? { kind: BodyKind.Whole, body: collector.finish() } : { kind: BodyKind.Broken },
+            );
+        response.on("data", onData);
+        response.on("close", onClose);
     });
 }
