Count incomplete events as held

An engine that sends most of an event and then nothing made a host hold up to 2 MiB for each of its streams, outside the count of what is held: with three engines and 100 streams a second 184 MiB resident on a machine of 169.8 MiB, which ends the process. That is a way to what was reported: a body whose end does not come, until the caller closes, and all clients of the machine lose theirs.

What is read of a stream, its copy, and the buffer of the incomplete event take memory of the request.

--- a/packages/bodies/src/memory.ts
+++ b/packages/bodies/src/memory.ts
@@ -24,3 +24,23 @@
         this.takenBytes -= bytes;
     }
 }
+
+/** Memory that something takes whose size changes. */
+export class ChangingSize {
+    private bytes = 0;
+
+    constructor(private readonly memory: Memory | undefined) {}
+
+    /** Replaces the size. Returns false, and keeps the former one, if there is less memory. */
+    trySet(bytes: number): boolean {
+        const added = bytes - this.bytes;
+        if (added > 0 && this.memory?.tryTake(added) === false) {
+            return false;
+        }
+        if (added < 0) {
+            this.memory?.release(-added);
+        }
+        this.bytes = bytes;
+        return true;
+    }
+}
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -3,6 +3,7 @@
 import type * as dispatch from "@citronlead/dispatch";
 import type * as http from "node:http";
 import * as background from "../background.js";
+import * as connections from "../connections.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
 import * as quarantines from "../quarantine.js";
@@ -32,6 +33,10 @@
 
 /** Maximum size of an incomplete event that is buffered. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Memory that a byte of an incomplete event takes: its buffer grows by doubling. */
+const INCOMPLETE_FACTOR = 2;
+/** Memory that a byte that is read takes until it is relayed: itself, its copy, and the buffer that it outgrows. */
+const PASSING_FACTOR = 3;
 /** Maximum number of pieces of an incomplete event. */
 const MAX_EVENT_PIECES = MAX_EVENT_BYTES / bodies.PIECE_OVERHEAD_BYTES;
 /** Pieces of a stream: far more than any engine writes, and what a stream may have waiting after a pause of this process. */
@@ -61,6 +66,7 @@
         acceptsEvent: (id) => sequence.addEvent(id),
         passesComments: () => sequence.passesComments,
     });
+    const held = new bodies.ChangingSize(connections.memoryOf(exchange.request));
     const eventsBefore = exchange.relayedEvents;
     const pieces = new decision.TokenBucket(STREAM_PIECES, context.clock());
     const flow = new flows.AnswerFlow(source, context.longStreams, context.clock);
@@ -107,6 +113,11 @@
                 return;
             }
             flow.onRead();
+            if (!held.trySet(INCOMPLETE_FACTOR * splitter.remainder.length + PASSING_FACTOR * bytes.length)) {
+                outOfBounds = true;
+                source.destroy();
+                return;
+            }
             const completeEvents = splitter.push(bytes);
             if (completeEvents) {
                 clearTimeout(timer);
@@ -119,11 +130,12 @@
                     context.quarantine.recordStarted(exchange);
                 }
             }
+            const isHeld = held.trySet(INCOMPLETE_FACTOR * splitter.remainder.length);
             if (splitter.isRejected) {
                 source.destroy();
             }
             else if (
-                splitter.remainder.length > MAX_EVENT_BYTES || splitter.remainderPieces > MAX_EVENT_PIECES
+                !isHeld || splitter.remainder.length > MAX_EVENT_BYTES || splitter.remainderPieces > MAX_EVENT_PIECES
             ) {
                 outOfBounds = true;
                 source.destroy();
@@ -138,6 +150,7 @@
         };
         const onClose = async () => {
             clearTimeout(timer);
+            held.trySet(0);
             exchange.signal.removeEventListener("abort", onAbort);
             const whole = !exchange.isOver && await isWhole();
             if (exchange.isOver) {
