End a relayed body whose response did not begin

Callers saw nothing yet: a response may be refused when it would begin, where its status would promise that it has not run, and the body must not be written behind the refusal. By reading; no run shows it on this code, where no response is refused there. The source is destroyed, and the request stays as it has ended.

--- a/packages/gateway/src/bodyrelay.ts
+++ b/packages/gateway/src/bodyrelay.ts
@@ -67,6 +67,10 @@
         headers.responseHeaders(source.rawHeaders, length === undefined ? undefined : Number(length)),
         true,
     );
+    if (exchange.isOver) {
+        source.destroy();
+        return Promise.resolve(BodyEnd.NoCaller);
+    }
     const abort = (end: BodyEnd) => {
         failure ??= end;
         source.destroy();
