--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -4,13 +4,14 @@
 import type * as http from "node:http";
 import type * as callrecords from "./callrecord.js";
 import type * as contexts from "./context.js";
+import * as evidences from "./evidence.js";
 import * as envelopes from "./relay/envelope.js";
 import type * as wires from "./wire.js";
 
 /** Why a request ended as it did. */
 export enum FinalReason {
     Served = "served",
-    /** An upstream's error response was relayed. */
+    /** An upstream's error response was relayed, or replaced because it would have been a promise. */
     UpstreamFailure = "upstreamFailure",
     NotReady = "notReady",
     BadRequest = "badRequest",
@@ -53,8 +54,8 @@
 
 /** Margin before the caller's deadline, for the network delay to the caller and a timer that fires late. */
 const RESPONSE_MARGIN_MS = 25;
-/** Timers of whole milliseconds fire up to this early. */
-const TIMER_RESOLUTION_MS = 1;
+/** Timers drop the fraction of a delay and of the clock that they start from, so that they fire up to this early. */
+const TIMER_RESOLUTION_MS = 2;
 
 /** Number of priorities that a route can have. */
 const PRIORITY_LEVELS = 10;
@@ -78,11 +79,10 @@
     private finished = false;
     private callInFlight: callrecords.CallRecord | undefined;
     private sent = false;
+    readonly evidence: evidences.EvidenceOfSends;
     private unsentCallback: (() => void) | undefined;
-    /** Whether an upstream may have run the request. */
-    mayHaveRun = false;
-    /** Incarnations of the upstreams that it was sent to. */
-    readonly sentTo = new Set<string>();
+    /** Leave for each send that could run the request, and what is known of them. */
+    readonly runs: dispatch.RunLedger;
     /** Number of reservations that engines refused for lack of capacity. */
     refusedReservations = 0;
     relayedEvents = 0;
@@ -113,6 +113,7 @@
         startedAt: decision.Milliseconds,
     ) {
         this.startedAt = startedAt;
+        this.evidence = new evidences.EvidenceOfSends(route.kind, context.metrics);
         const relayed = envelopes.relayedRequestOf(request);
         this.allowedRegions = dispatch.intersectRegions(route.allowedRegions, workspace?.allowedRegions);
         this.isRelayed = relayed !== undefined;
@@ -127,6 +128,7 @@
             use: () => retryBudget.use(service, clock()),
             release: () => retryBudget.release(service),
         });
+        this.runs = new dispatch.RunLedger(dispatch.mayRepeat(route));
         this.deadlineTimer = setTimeout(() => this.onDeadline(), Math.max(0, this.deadlineAt - context.clock()));
         response.on("close", () => this.onCallerDisconnect());
         context.hostStop.add(this);
@@ -222,6 +224,7 @@
         { id, softwareVersion }: Pick<routing.Upstream, "id" | "softwareVersion">,
         result: string,
         startedAt: decision.Milliseconds,
+        evidence?: evidences.SendEvidence,
     ): void {
         const { clock, metrics } = this.context;
         metrics.sends.inc({ service: this.service, call, result });
@@ -233,19 +236,20 @@
             result,
             startedMs: Math.round(startedAt - this.startedAt),
             tookMs: Math.round(clock() - startedAt),
+            ...this.evidence.record(call, evidence),
         });
     }
 
-    /** Records how another host answered, for the log and the metrics. */
-    recordRelay(host: string, result: string, startedAt: decision.Milliseconds): void {
-        this.recordCall("relay", { id: host, softwareVersion: "" }, result, startedAt);
-    }
-
     /**
      * Sends the status and headers of an upstream's response to the caller. One without framing ends with its connection
-     * here too; with a Content-Length, one that the upstream broke off would look complete.
+     * here too; with a Content-Length, one that the upstream broke off would look complete. Returns false if the request is
+     * refused instead: the status would promise that it has not run.
      */
-    beginResponse(status: number, headers: readonly string[], framed: boolean): void {
+    beginResponse(status: number, headers: readonly string[], framed: boolean): boolean {
+        if (!this.runs.mayPassOn(status)) {
+            this.refuse({ status, reason: FinalReason.UpstreamFailure });
+            return false;
+        }
         this.context.metrics.firstByte.observe(
             { service: this.service },
             (this.context.clock() - this.startedAt) / decision.SECOND_MS,
@@ -259,6 +263,7 @@
             ? envelopes.leavingHeaders(this.leavingUpstream)
             : [];
         this.response.writeHead(status, [...headers, ...relayHeaders] as unknown as http.OutgoingHttpHeader[]);
+        return true;
     }
 
     /** Ends a response that was relayed completely. */
@@ -292,7 +297,7 @@
     async serveElsewhereIfUnreached(): Promise<boolean> {
         const isUnreached = this.callRecords.length > 0 && this.permits.arrivals === 0 && !this.hasContact
             && !this.permits.hasPrefill;
-        if (this.finished || this.mayHaveRun || this.response.headersSent || !isUnreached) {
+        if (this.finished || this.runs.mayHaveRun || this.response.headersSent || !isUnreached) {
             return this.finished;
         }
         this.takeBackCharges();
@@ -312,7 +317,7 @@
     refuseIfBarred(): boolean {
         if (!this.finished && this.context.quarantine.isBarred(this.fingerprints)) {
             this.refuse({
-                status: this.mayHaveRun ? 502 : 503,
+                status: 503,
                 reason: FinalReason.ContentBarred,
                 retryAfterMs: BARRED_RETRY_AFTER_MS,
             });
@@ -326,7 +331,10 @@
         return this.finished;
     }
 
-    /** Refuses the request, or aborts its response if a part has already been sent. */
+    /**
+     * Refuses the request, or aborts its response if a part has already been sent. A status that promises that the request has
+     * not run is replaced if it may have.
+     */
     refuse(refusal: Refusal): void {
         if (this.finished) {
             return;
@@ -335,8 +343,9 @@
             this.abortResponse(refusal.reason);
             return;
         }
-        this.finish(refusal.reason, refusal.status);
-        this.context.sendRefusal(this.response, this.metadata.requestId, refusal);
+        const status = this.runs.refusalStatus(refusal.status, refusal.reason === FinalReason.TimedOut);
+        this.finish(refusal.reason, status);
+        this.context.sendRefusal(this.response, this.metadata.requestId, { ...refusal, status });
     }
 
     /** Refuses a request that may have run and whose response is lost; one that has reached its deadline has timed out. */
@@ -369,7 +378,7 @@
             this.deadlineTimer = setTimeout(() => this.onDeadline(), Math.max(RESPONSE_MARGIN_MS, leftMs));
             return;
         }
-        this.refuse({ status: this.mayHaveRun ? 504 : 503, reason: FinalReason.TimedOut, retryAfterMs: 0 });
+        this.refuse({ status: 503, reason: FinalReason.TimedOut, retryAfterMs: 0 });
     }
 
     private onCallerDisconnect(): void {
@@ -390,9 +399,11 @@
         this.context.hostStop.delete(this);
         if (this.callInFlight) {
             this.callRecords.push(this.callInFlight);
+            this.evidence.record(this.callInFlight.call, { proof: undefined });
         }
         clearTimeout(this.deadlineTimer);
         this.permits.close();
+        this.runs.close();
         this.abortController.abort();
         this.notifyUnsent();
         this.context.logOutcome(this, reason, status);
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -3,6 +3,7 @@
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
 import * as regions from "../regions.js";
+import * as sends from "../send.js";
 import * as agents from "../upstream/agent.js";
 import * as calls from "../upstream/call.js";
 import * as envelopes from "./envelope.js";
@@ -43,10 +44,11 @@
             .filter((host) => host !== `${address}:${port}` && regions.mayReachHost(exchange, host));
         const ranked = this.relayHosts.rank(others, context.clock(), context.random).slice(0, MAX_HOSTS);
         for (const host of ranked) {
-            if (exchange.isOver) {
-                return true;
+            const run = exchange.runs.tryEnter();
+            if (!run) {
+                return exchange.isOver;
             }
-            if (await this.relayTo(exchange, host) === RelayAnswer.Final) {
+            if (await this.relayTo(exchange, host, run) === RelayAnswer.Final) {
                 return true;
             }
             this.relayHosts.recordUnable(host, context.clock());
@@ -54,16 +56,27 @@
         return exchange.isOver;
     }
 
-    private async relayTo(exchange: exchanges.Exchange, host: string): Promise<RelayAnswer> {
-        const { context, request } = exchange;
+    private async relayTo(
+        exchange: exchanges.Exchange,
+        host: string,
+        run: dispatch.RunEntry,
+    ): Promise<RelayAnswer> {
+        const { context, request, metadata } = exchange;
         const startedAt = context.clock();
         const close = this.relayHosts.open(host);
-        const mayHaveRun = exchange.mayHaveRun;
-        exchange.mayHaveRun = true;
+        const record = (result: string, proof: dispatch.NotRunProof | undefined, outcome: calls.CallOutcome) =>
+            exchange.recordCall("relay", { id: host, softwareVersion: "" }, result, startedAt, { proof, outcome });
         try {
             const outcome = await calls.startCall(this.agent, {
                 address: host,
                 incarnation: host,
+                ownConnection: !metadata.requestId,
+                findMismatch: (received) => {
+                    const { requestId } = context.wireFormat.parseResponse(received);
+                    return sends.isSameId(requestId, metadata.requestId)
+                        ? undefined
+                        : `response to request ${requestId ?? "without an id"}`;
+                },
                 method: request.method ?? "GET",
                 path: request.url ?? "/",
                 headers: [
@@ -75,12 +88,16 @@
                 ],
                 body: exchange.body,
                 headersTimeoutMs: exchange.remainingMs,
+                run,
                 signal: exchange.signal,
             });
             if (outcome.progress !== calls.CallProgress.Responded) {
-                exchange.recordRelay(host, `${outcome.progress}: ${outcome.reason}`, startedAt);
-                if (outcome.progress === calls.CallProgress.NotSent) {
-                    exchange.mayHaveRun = mayHaveRun;
+                const proof = outcome.progress === calls.CallProgress.NotSent
+                    ? dispatch.NotRunProof.NotConnected
+                    : undefined;
+                record(`${outcome.progress}: ${outcome.reason}`, proof, outcome);
+                if (proof !== undefined) {
+                    run.prove(proof);
                     return RelayAnswer.Unable;
                 }
                 exchange.refuseAsLost();
@@ -89,11 +106,14 @@
             const { response } = outcome;
             const leaving = envelopes.parseLeaving(response.headers);
             if (leaving !== undefined) {
-                const { requestId } = exchange.metadata;
+                const { requestId } = metadata;
                 context.notices.observeRelayed(leaving, { call: `relay by ${host}`, requestId });
             }
             const refusal = envelopes.parseRefusal(response.headers);
-            exchange.recordRelay(host, `${response.statusCode} ${refusal?.reason ?? ""}`.trimEnd(), startedAt);
+            const status = response.statusCode ?? 502;
+            const isNotRun = refusal !== undefined && dispatch.isPromise(status);
+            const proof = isNotRun ? dispatch.NotRunProof.HostRefusal : undefined;
+            record(`${status} ${refusal?.reason ?? ""}`.trimEnd(), proof, outcome);
             if (!UNABLE_REASONS.has(refusal?.reason ?? "")) {
                 this.relayHosts.recordAble(host);
             }
@@ -107,10 +127,11 @@
                 await bodyrelays.relayBody(exchange, { response, confirmEnd: () => Promise.resolve(false) });
                 return RelayAnswer.Final;
             }
+            if (proof !== undefined) {
+                run.prove(proof);
+            }
             await calls.readBody(response, REFUSAL_TIMEOUT_MS, MAX_REFUSAL_BYTES);
-            const status = response.statusCode ?? 502;
-            exchange.mayHaveRun = mayHaveRun || !NOT_RUN_STATUSES.has(status);
-            if (UNABLE_REASONS.has(refusal.reason) && NOT_RUN_STATUSES.has(status)) {
+            if (UNABLE_REASONS.has(refusal.reason) && proof !== undefined) {
                 return RelayAnswer.Unable;
             }
             const reason = Object.values(exchanges.FinalReason).find((known) => known === refusal.reason);
@@ -127,9 +148,6 @@
     }
 }
 
-/** Statuses with which a host promises that it has not run a request and never will. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** Refusals after which another host may serve the request. */
 const UNABLE_REASONS: ReadonlySet<string> = new Set([
     exchanges.FinalReason.Unreachable,
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -1,9 +1,11 @@
 import * as bodies from "@citronlead/bodies";
 import type * as decision from "@citronlead/decision";
+import type * as dispatch from "@citronlead/dispatch";
 import * as http from "node:http";
 import * as heads from "../head.js";
 import * as agents from "./agent.js";
 import * as lines from "./lineends.js";
+import * as traces from "./trace.js";
 
 /** A request to an upstream. */
 export interface UpstreamCall {
@@ -20,8 +22,12 @@
     readonly headersTimeoutMs: decision.Milliseconds;
     /** What in the headers of a response shows that it answers another call; undefined if it answers this one. */
     readonly findMismatch?: (headers: http.IncomingHttpHeaders) => string | undefined;
+    /** Id that answers to the call bear. No connection carries two calls with one id: their answers look alike. */
+    readonly id?: string | undefined;
     /** Whether the call gets a connection that no other call uses, before or after it. */
     readonly ownConnection?: boolean;
+    /** Leave to send a request that the call could run; undefined for calls that run none, such as control calls. */
+    readonly run: dispatch.RunEntry | undefined;
     /** Cancels the call and closes its connection when aborted. */
     readonly signal: AbortSignal | undefined;
 }
@@ -54,13 +60,26 @@
 
 /** Outcome of a call up to the response headers. */
 export type CallOutcome =
-    | { readonly progress: CallProgress.Responded; readonly response: http.IncomingMessage; }
+    | {
+        readonly progress: CallProgress.Responded;
+        readonly response: http.IncomingMessage;
+        readonly trace?: traces.CallTrace;
+    }
     | {
         readonly progress: CallProgress.NotSent | CallProgress.NoResponse;
         readonly failure: CallFailure;
         readonly reason: string;
+        readonly trace?: traces.CallTrace;
+        /** The response that answers another call, if that is why it is not used. */
+        readonly foreign?: ForeignResponse | undefined;
     };
 
+/** Head of a response that answers another call. */
+export interface ForeignResponse {
+    readonly status: number;
+    readonly headers: http.IncomingHttpHeaders;
+}
+
 /** Maximum number of interim responses before the final one. */
 const MAX_INTERIM_RESPONSES = 16;
 
@@ -73,8 +92,10 @@
 /** Sends a request and waits for the response headers. */
 export function startCall(agent: agents.UpstreamAgent, call: UpstreamCall): Promise<CallOutcome> {
     const { host, port } = splitAddress(call.address);
+    const { id, incarnation } = call;
+    const ownConnection = call.ownConnection === true || (id !== undefined && agent.mayHaveCarried(incarnation, id));
     return new Promise((resolve) => {
-        if (call.signal?.aborted) {
+        if (call.signal?.aborted || call.run?.tryBegin() === false) {
             resolve({ progress: CallProgress.NotSent, failure: CallFailure.Aborted, reason: "aborted" });
             return;
         }
@@ -83,16 +104,18 @@
             port,
             method: call.method,
             path: call.path,
-            headers: headersOf(call) as unknown as http.OutgoingHttpHeaders,
+            headers: headersOf(call, ownConnection) as unknown as http.OutgoingHttpHeaders,
             setHost: false,
             agent,
-            incarnation: call.ownConnection ? `${call.incarnation} ${++ownConnections}` : call.incarnation,
+            incarnation: ownConnection ? `${incarnation} ${++ownConnections}` : incarnation,
         };
         const request = openRequest(options);
         if (!(request instanceof http.ClientRequest)) {
             resolve({ progress: CallProgress.NotSent, failure: CallFailure.Unwritable, reason: request.problem });
             return;
         }
+        const trace = traces.traceCall(request);
+        let foreign: ForeignResponse | undefined;
         let connected = false;
         let failure = CallFailure.Broken;
         let reason: string | undefined;
@@ -110,6 +133,9 @@
         const lineEnds = new lines.LineEndChecker();
         const checkLineEnds = (bytes: Buffer) => lineEnds.push(bytes);
         request.on("socket", (socket) => {
+            if (id !== undefined) {
+                agent.recordRequest(socket, id);
+            }
             // Before the parser's own listener, so that the head is checked by the time of its response.
             socket.prependListener("data", checkLineEnds);
             if (socket.connecting) {
@@ -132,6 +158,8 @@
                 progress: connected ? CallProgress.NoResponse : CallProgress.NotSent,
                 failure: call.signal?.aborted ? CallFailure.Aborted : failure,
                 reason: reason ?? "closed",
+                trace: trace(),
+                foreign,
             });
         });
         request.on("information", () => {
@@ -143,9 +171,13 @@
             response.socket.off("data", checkLineEnds);
             const problem = lineEnds.isMalformed
                 ? "malformed line end"
-                : heads.findMalformedHead(response) ?? call.findMismatch?.(response.headers);
-            if (problem !== undefined) {
-                stop(CallFailure.Malformed, problem);
+                : heads.findMalformedHead(response);
+            const mismatch = problem === undefined ? call.findMismatch?.(response.headers) : undefined;
+            if (mismatch !== undefined) {
+                foreign = { status: response.statusCode ?? 0, headers: response.headers };
+            }
+            if (problem !== undefined || mismatch !== undefined) {
+                stop(CallFailure.Malformed, problem ?? mismatch ?? "");
                 return;
             }
             clearTimeout(timer);
@@ -158,7 +190,7 @@
             if (!isFramed(response)) {
                 response.socket.once("end", () => closedByUpstream.add(response));
             }
-            resolve({ progress: CallProgress.Responded, response });
+            resolve({ progress: CallProgress.Responded, response, trace: trace() });
         });
         request.end(call.body);
     });
@@ -174,7 +206,7 @@
     }
 }
 
-function headersOf({ headers, body, ownConnection }: UpstreamCall): string[] {
+function headersOf({ headers, body }: UpstreamCall, ownConnection: boolean): string[] {
     return [
         ...headers,
         ...(body === undefined ? [] : ["Content-Length", String(body.length)]),
