Bodies: a piece for which there is no room is never left out of a long body

A body whose piece did not fit, by its number of pieces or for want of memory, at the moment at which its bytes on the connection reached the bound went on without that piece.

--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -304,19 +304,19 @@
         const onData = (piece: Buffer) => {
             const added = response.destroyed ? bodies.AddResult.Added : collector.add(piece);
             const isLong = added === bodies.AddResult.TooLong && collector.length + piece.length > limitBytes;
-            if (isLong || socket.bytesRead - bytesBefore > MAX_WIRE_FACTOR * limitBytes) {
-                response.pause();
-                const body = collector.finish();
-                finish({ kind: BodyKind.Long, body: isLong ? Buffer.concat([body, piece]) : body });
-            }
-            else if (added === bodies.AddResult.NoMemory) {
+            if (added === bodies.AddResult.NoMemory) {
                 response.destroy();
                 finish({ kind: BodyKind.NoMemory });
             }
-            else if (added === bodies.AddResult.TooLong) {
+            else if (added === bodies.AddResult.TooLong && !isLong) {
                 response.destroy();
                 finish({ kind: BodyKind.Broken });
             }
+            else if (isLong || socket.bytesRead - bytesBefore > MAX_WIRE_FACTOR * limitBytes) {
+                response.pause();
+                const body = collector.finish();
+                finish({ kind: BodyKind.Long, body: isLong ? Buffer.concat([body, piece]) : body });
+            }
         };
         const onClose = () =>
             finish(
