Test: late copies of granted reservations lead to no second run

A copy at another reservation gives the room of one request to another, since neither answer bears an id. An engine that takes a reservation once turns the second away as not run, and the request is sent again.

--- a/packages/gateway/test/latecopies.test.ts
+++ b/packages/gateway/test/latecopies.test.ts
@@ -77,4 +77,53 @@
         chai.expect({ status, body }).to.deep.equal({ status: 200, body: EVENTS });
         chai.expect(new Set(runs).size, "connections of the runs").to.equal(2);
     });
+
+    it("of a granted reservation lead to no second run, and to no refusal of what ran", async () => {
+        let granted = 0;
+        let copyCount = 0;
+        const ran: string[] = [];
+        const unused = new Set<string>();
+        const copies = new WeakMap<net.Socket, string>();
+        engine.behave = ({ path, headers: received }, response, { socket }) => {
+            if (path === "/reserve") {
+                const copy = copies.get(socket);
+                if (copy !== undefined) {
+                    copies.delete(socket);
+                    socket.write(copy);
+                    copyCount++;
+                }
+                const id = `hold-${++granted}`;
+                unused.add(id);
+                const body = JSON.stringify({ id });
+                if (granted % 5 === 0) {
+                    copies.set(socket, `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+                }
+                response.end(body);
+                return;
+            }
+            if (path.startsWith("/reserve/")) {
+                unused.delete(path.slice("/reserve/".length));
+                response.end("{}");
+                return;
+            }
+            const requestId = String(received["request-id"]);
+            if (!unused.delete(String(received["reservation"]))) {
+                response.writeHead(503, { "request-id": requestId, "not-run": "1" }).end();
+                return;
+            }
+            ran.push(requestId);
+            response.writeHead(200, { "request-id": requestId, "signature": "s", "content-type": "text/event-stream" });
+            response.end(EVENTS);
+        };
+        const ids = Array.from({ length: 20 }, (_, index) => `r-${index}`);
+        const send = (id: string) => fixture.send({ path: "/write/1", headers: { ...headers, "request-id": id } });
+        const responses = await Promise.all(ids.map(send));
+        const answers = responses.map(({ status }, index) => ({
+            status,
+            runs: ran.filter((id) => id === ids[index]).length,
+        }));
+        chai.expect(answers.filter(({ status, runs: count }) => count > 1 || (status === 503 && count > 0)))
+            .to.deep.equal([]);
+        chai.expect(Math.min(copyCount, ran.length), "copies sent, and runs").to.be.above(0);
+    });
 });
