Gateway: one figure for how early timers fire; relays state no pool of their own

The relay of bodies took timers for up to 1 ms early where 2 are measured, so that a body that ended right at its route's timeout could count as held by its caller. Connections between hosts are never kept, so that a relay that asks for one of its own asks for nothing.

--- a/packages/gateway/src/bodyrelay.ts
+++ b/packages/gateway/src/bodyrelay.ts
@@ -28,12 +28,9 @@
 const UNRELAYED_BYTES = 131_072;
 /** Share of the time that a body may wait for its caller and still be called late. */
 const MAX_CALLER_SHARE = 0.5;
-/** Timers of whole milliseconds fire up to this early. */
-const TIMER_RESOLUTION_MS = 1;
-
 /** Whether the time that the route allows is over, rather than a shorter one of the caller's. */
 export function isPastRouteTimeout({ deadlineAt, remainingMs, route, startedAt }: exchanges.Exchange): boolean {
-    return remainingMs <= TIMER_RESOLUTION_MS && deadlineAt - startedAt >= route.timeoutMs;
+    return remainingMs <= exchanges.TIMER_RESOLUTION_MS && deadlineAt - startedAt >= route.timeoutMs;
 }
 
 /** What is known of a body that is relayed. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -55,7 +55,7 @@
 /** Margin before the caller's deadline, for the network delay to the caller and a timer that fires late. */
 const RESPONSE_MARGIN_MS = 25;
 /** Timers drop the fraction of a delay and of the clock that they start from, so that they fire up to this early. */
-const TIMER_RESOLUTION_MS = 2;
+export const TIMER_RESOLUTION_MS = 2;
 
 /** Number of priorities that a route can have. */
 const PRIORITY_LEVELS = 10;
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -70,7 +70,6 @@
             const outcome = await calls.startCall(this.agent, {
                 address: host,
                 incarnation: host,
-                ownConnection: !metadata.requestId,
                 findMismatch: (received) => {
                     const { requestId } = context.wireFormat.parseResponse(received);
                     return sends.isSameId(requestId, metadata.requestId)
