--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -31,7 +31,9 @@
             cold_left_ms: 0,
             seq_no: 1,
             born: this.born,
-            ...(this.stage === undefined ? {} : { stage: this.stage, models: [{ name: "m", version: 1, adapters: [] }] }),
+            ...(this.stage === undefined
+                ? {}
+                : { stage: this.stage, models: [{ name: "m", version: 1, adapters: [] }] }),
         };
     }
 
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -21,7 +21,8 @@
 export function openRecord(folder) {
     const file = fs.openSync(path.join(folder, "record.txt"), "w");
     const startedAt = performance.now();
-    return (text) => fs.writeSync(file, `${((performance.now() - startedAt) / 1_000).toFixed(3).padStart(8)} s  ${text}\n`);
+    return (text) =>
+        fs.writeSync(file, `${((performance.now() - startedAt) / 1_000).toFixed(3).padStart(8)} s  ${text}\n`);
 }
 
 function runCommand() {
@@ -36,41 +37,44 @@
         this.address = address;
         this.settings = path.join(folder, `${name}.toml`);
         this.log = path.join(folder, `${name}.log`);
-        fs.writeFileSync(this.settings, [
-            `node = "${name}"`,
-            "role = \"edge\"",
-            "machine_class = \"edge\"",
-            "serves = [\"edge\"]",
-            `ip = "${address}"`,
-            `zone = "${zone}"`,
-            "region = \"ptnorth\"",
-            `port_range = [${PEER_PORT},${PEER_PORT + 15}]`,
-            "discovery = \"platform\"",
-            "heartbeat_ms = 1200",
-            "[zones]",
-            "braga-a = \"ptnorth\"",
-            "porto-b = \"ptnorth\"",
-            "gmr-c = \"ptnorth\"",
-            "[listen]",
-            `front = "${address}:${FRONT_PORT}"`,
-            `ready = "${address}:${READY_PORT}"`,
-            "[limits]",
-            `memory_mb = ${memoryMb}`,
-            "max_fds = 4100",
-            "[bounds]",
-            "drain_ms = 2000",
-            `grace_s = ${graceSeconds}`,
-            "config_apply_ms = 2000",
-            "retry_budget_ratio = 0.2",
-            "budget_window_s = 10",
-            "budget_extra = 58",
-            "quota_window_s = 8",
-            "quota_overshoot = 0.1",
-            "quota_slack = 190000",
-            "[platform]",
-            `address = "${subnet}.1:${STORE_PORT}"`,
-            "",
-        ].join("\n"));
+        fs.writeFileSync(
+            this.settings,
+            [
+                `node = "${name}"`,
+                'role = "edge"',
+                'machine_class = "edge"',
+                'serves = ["edge"]',
+                `ip = "${address}"`,
+                `zone = "${zone}"`,
+                'region = "ptnorth"',
+                `port_range = [${PEER_PORT},${PEER_PORT + 15}]`,
+                'discovery = "platform"',
+                "heartbeat_ms = 1200",
+                "[zones]",
+                'braga-a = "ptnorth"',
+                'porto-b = "ptnorth"',
+                'gmr-c = "ptnorth"',
+                "[listen]",
+                `front = "${address}:${FRONT_PORT}"`,
+                `ready = "${address}:${READY_PORT}"`,
+                "[limits]",
+                `memory_mb = ${memoryMb}`,
+                "max_fds = 4100",
+                "[bounds]",
+                "drain_ms = 2000",
+                `grace_s = ${graceSeconds}`,
+                "config_apply_ms = 2000",
+                "retry_budget_ratio = 0.2",
+                "budget_window_s = 10",
+                "budget_extra = 58",
+                "quota_window_s = 8",
+                "quota_overshoot = 0.1",
+                "quota_slack = 190000",
+                "[platform]",
+                `address = "${subnet}.1:${STORE_PORT}"`,
+                "",
+            ].join("\n"),
+        );
     }
 
     start() {
@@ -92,7 +96,10 @@
             const socket = net.connect(READY_PORT, this.address);
             let text = "";
             socket.setTimeout(1_000, () => socket.destroy());
-            socket.on("connect", () => socket.write("GET /-/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n"));
+            socket.on(
+                "connect",
+                () => socket.write("GET /-/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n"),
+            );
             socket.on("data", (bytes) => text += bytes);
             socket.on("error", () => undefined);
             socket.on("close", () => resolve(text.startsWith("HTTP/1.1 200")));
--- a/review/lib-2/quota.mjs
+++ b/review/lib-2/quota.mjs
@@ -22,11 +22,19 @@
     const runs = [];
     const run = ({ request, response, requestId, named }) => {
         runs.push({ at: performance.now(), tenant: request.headers["x-citronlead-tenant"], requestId });
-        response.writeHead(200, engines.sealed(named, { "Content-Type": "text/event-stream", "X-Citronlead-Weight-Versions": "1" }));
+        response.writeHead(
+            200,
+            engines.sealed(named, { "Content-Type": "text/event-stream", "X-Citronlead-Weight-Versions": "1" }),
+        );
         response.end([1, 2, 3].map((id) => `id: ${id}\ndata: token ${id}\n\n`).join(""));
     };
     for (const [index, stage] of ["prefill", "decode"].entries()) {
-        const server = new engines.Server(record, { service: "huvo11a", address: `${fleet.subnet}.${20 + index}`, stage, run });
+        const server = new engines.Server(record, {
+            service: "huvo11a",
+            address: `${fleet.subnet}.${20 + index}`,
+            stage,
+            run,
+        });
         await server.listen();
         defer(() => server.close());
         store.put(`servers/${server.id}`, server.registration);
@@ -34,16 +42,48 @@
     store.put("op/config", {
         version: 7,
         routes: [{
-            name: "r-1", host: "ficu95.example", prefix: "/lohu930/", kind: "streaming", timeout_ms: 14_000, slo_ms: 900,
-            priority: 1, service: "huvo11a", attempts: 1, public: false, sticky: true, resumable: false, gap_target_ms: 300,
+            name: "r-1",
+            host: "ficu95.example",
+            prefix: "/lohu930/",
+            kind: "streaming",
+            timeout_ms: 14_000,
+            slo_ms: 900,
+            priority: 1,
+            service: "huvo11a",
+            attempts: 1,
+            public: false,
+            sticky: true,
+            resumable: false,
+            gap_target_ms: 300,
         }],
         services: [{
-            name: "huvo11a", health_path: "/health", max_conns: 630,
-            engine: { slots: 128, kv_capacity: 53_213, kv_token_bytes: 18_432, link_mbps: 350_000, stride: 11, kv_hold_s: 5, hold_ms: 2_000 },
+            name: "huvo11a",
+            health_path: "/health",
+            max_conns: 630,
+            engine: {
+                slots: 128,
+                kv_capacity: 53_213,
+                kv_token_bytes: 18_432,
+                link_mbps: 350_000,
+                stride: 11,
+                kv_hold_s: 5,
+                hold_ms: 2_000,
+            },
         }],
-        limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 4_194_304,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
         tenants: tenants.map((name) => ({
-            name, api_keys: [keyOf(name)], priority: 1, unit: "tokens", plain_tokens: 200, rate_per_s: RATE_PER_S, burst: BURST,
+            name,
+            api_keys: [keyOf(name)],
+            priority: 1,
+            unit: "tokens",
+            plain_tokens: 200,
+            rate_per_s: RATE_PER_S,
+            burst: BURST,
         })),
     });
     return runs;
@@ -56,7 +96,11 @@
     const id = (0x9c41d07b00000000n + BigInt(++lastRequest)).toString(16);
     return new Promise((resolve) => {
         const request = http.request({
-            host: host.address, port: fleet.FRONT_PORT, method: "POST", path: "/lohu930/2f", agent,
+            host: host.address,
+            port: fleet.FRONT_PORT,
+            method: "POST",
+            path: "/lohu930/2f",
+            agent,
             headers: {
                 "Host": "ficu95.example",
                 "X-Citronlead-Request-Id": id,
@@ -92,10 +136,12 @@
                     return;
                 }
                 await fleet.pause(Math.max(0, at - performance.now()));
-                calls.push(call(host, agent, tenant).then((status) => {
-                    const byStatus = counts.get(host.name);
-                    byStatus[status] = (byStatus[status] ?? 0) + 1;
-                }));
+                calls.push(
+                    call(host, agent, tenant).then((status) => {
+                        const byStatus = counts.get(host.name);
+                        byStatus[status] = (byStatus[status] ?? 0) + 1;
+                    }),
+                );
             }
         })
     ));
