Log and count how the answers of upstreams are framed and how they end

The logs could not tell a reset that is taken for the end of an answer, an answer that the host itself closed, one that began before its request had been written, and an upstream that stopped: a step had its status alone. The state is found in one place, from the connection and from what the reader got; nothing is decided by it yet.

--- a/packages/gateway/src/callrecord.ts
+++ b/packages/gateway/src/callrecord.ts
@@ -1,3 +1,5 @@
+import type * as answers from "./upstream/answer.js";
+
 /** On what the outcome of a call rests, as it is logged; see evidence.ts. */
 export interface CallEvidence {
     /** What proves that the call did not run the request. */
@@ -20,4 +22,7 @@
     readonly result: string;
     readonly startedMs: number;
     readonly tookMs: number;
+    /** How its answer was framed and how it ended, unless it is whole by its framing. Undefined until its end. */
+    framing?: answers.Framing;
+    end?: answers.AnswerEnd;
 }
--- a/packages/gateway/src/evidence.ts
+++ b/packages/gateway/src/evidence.ts
@@ -2,6 +2,7 @@
 import type * as callrecords from "./callrecord.js";
 import type * as contexts from "./context.js";
 import type * as metrics from "./metrics.js";
+import * as answers from "./upstream/answer.js";
 import * as calls from "./upstream/call.js";
 
 /** On what it rests that a send did not run its request. */
@@ -79,6 +80,26 @@
     };
 }
 
+/** Counts how the answer to a call ends, and adds it to the record of the call. */
+export function followAnswer(
+    { answerEnds }: Pick<metrics.GatewayMetrics, "answerEnds">,
+    call: string,
+    outcome: calls.CallOutcome,
+    record?: callrecords.CallRecord,
+): void {
+    if (outcome.progress !== calls.CallProgress.Responded) {
+        return;
+    }
+    const { framing } = outcome.answer;
+    void outcome.answer.end.then((end) => {
+        answerEnds.inc({ call, framing, end });
+        if (record && (framing === answers.Framing.Close || end !== answers.AnswerEnd.Whole)) {
+            record.framing = framing;
+            record.end = end;
+        }
+    });
+}
+
 /** Logs and counts an answer that belonged to another call than the one whose connection it came on. */
 export function reportForeignAnswer(
     context: contexts.GatewayContext,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -218,18 +218,18 @@
         };
     }
 
-    /** Records how a call ended, for the log and the metrics. */
+    /** Records how a call ended, for the log and the metrics. Returns the record, to which more may be added. */
     recordCall(
         call: string,
         { id, softwareVersion }: Pick<routing.Upstream, "id" | "softwareVersion">,
         result: string,
         startedAt: decision.Milliseconds,
         evidence?: evidences.SendEvidence,
-    ): void {
+    ): callrecords.CallRecord {
         const { clock, metrics } = this.context;
         metrics.sends.inc({ service: this.service, call, result });
         this.callInFlight = undefined;
-        this.callRecords.push({
+        const record = {
             call,
             upstream: id,
             softwareVersion,
@@ -237,7 +237,9 @@
             startedMs: Math.round(startedAt - this.startedAt),
             tookMs: Math.round(clock() - startedAt),
             ...(this.finished ? {} : this.evidence.record(call, evidence)),
-        });
+        };
+        this.callRecords.push(record);
+        return record;
     }
 
     /**
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,6 +20,7 @@
     readonly stoppingRequests: promClient.Counter<"decision">;
     readonly droppedRequests: promClient.Counter;
     readonly droppedLogLines: promClient.Counter;
+    readonly answerEnds: promClient.Counter<"call" | "framing" | "end">;
     readonly foreignAnswers: promClient.Counter<"call">;
     readonly notRunAnswers: promClient.Counter<"service" | "status" | "basis">;
     readonly resends: promClient.Counter<"call" | "kind" | "basis">;
@@ -172,6 +173,11 @@
             [],
         ),
         droppedLogLines: counter("citronlead_gateway_dropped_log_lines_total", "Log lines beyond the bound.", []),
+        answerEnds: counter("citronlead_gateway_answer_ends_total", "How answers of upstreams were framed and ended.", [
+            "call",
+            "framing",
+            "end",
+        ]),
         foreignAnswers: counter("citronlead_gateway_foreign_answers_total", "Answers that belonged to another call.", [
             "call",
         ]),
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -1,5 +1,6 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as bodyrelays from "../bodyrelay.js";
+import * as evidences from "../evidence.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
 import * as regions from "../regions.js";
@@ -64,8 +65,11 @@
         const { context, request, metadata } = exchange;
         const startedAt = context.clock();
         const close = this.relayHosts.open(host);
-        const record = (result: string, proof: dispatch.NotRunProof | undefined, outcome: calls.CallOutcome) =>
-            exchange.recordCall("relay", { id: host, softwareVersion: "" }, result, startedAt, { proof, outcome });
+        const record = (result: string, proof: dispatch.NotRunProof | undefined, outcome: calls.CallOutcome) => {
+            const other = { id: host, softwareVersion: "" };
+            const relayed = exchange.recordCall("relay", other, result, startedAt, { proof, outcome });
+            evidences.followAnswer(context.metrics, "relay", outcome, relayed);
+        };
         try {
             const outcome = await calls.startCall(this.agent, {
                 address: host,
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -152,7 +152,8 @@
             : dispatch.SendEnd.NotArrived,
     );
     const text = sent.kind === SendKind.Response ? String(sent.response.statusCode) : `${sent.kind}: ${sent.reason}`;
-    exchange.recordCall(options.call, upstream, text, startedAt, { proof, outcome });
+    const record = exchange.recordCall(options.call, upstream, text, startedAt, { proof, outcome });
+    evidences.followAnswer(context.metrics, options.call, outcome, record);
     recordHealth(health, sent, exchange.isOver, context.clock());
     if (sent.kind === SendKind.Lost && sent.failure === calls.CallFailure.Broken) {
         const decoding = !(options.prefillOnly ?? false);
@@ -325,6 +326,7 @@
     context.reachability.record(upstream, outcome);
     context.observations.record(upstream, outcome, notices.isWrongUpstream(outcome), startedAt);
     evidences.reportForeignAnswer(context, upstream.id, name, undefined, outcome);
+    evidences.followAnswer(context.metrics, name, outcome);
     const isSilent = outcome.progress !== calls.CallProgress.Responded
         && outcome.failure === calls.CallFailure.TimedOut;
     if (isSilent && upstream.stage !== undefined) {
--- /dev/null
+++ b/packages/gateway/src/upstream/answer.ts
@@ -0,0 +1,90 @@
+import type * as http from "node:http";
+
+/** What ends the body of a response. */
+export enum Framing {
+    Length = "length",
+    Chunks = "chunks",
+    /** There is no body. */
+    None = "none",
+    /** The close of its connection. */
+    Close = "close",
+}
+
+/** How a response ended. */
+export enum AnswerEnd {
+    /** Its reader has got all that the upstream meant to send. */
+    Whole = "whole",
+    /** Its connection failed or was closed within a framed response. */
+    Cut = "cut",
+    /** This host closed the connection before its reader had got all of the response. */
+    Abandoned = "abandoned",
+    /** The connection of a response without framing was reset. */
+    Reset = "reset",
+    /** A response without framing, which began before its request had been written. */
+    Early = "early",
+    /** The upstream of a response without framing stopped. */
+    Stopped = "stopped",
+}
+
+/** Statuses of responses that have no body. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number | undefined> = new Set([204, 304]);
+
+/** The response to a call, with how it ends as its connection and its reader show it. */
+export class Answer {
+    readonly framing: Framing;
+    /** Resolves when the response has closed; what a reader has got is whole only with `AnswerEnd.Whole`. */
+    readonly end: Promise<AnswerEnd>;
+    private readonly isRequestWritten: boolean;
+    private wasRead = false;
+    private closedInOrder = false;
+
+    /**
+     * Takes a response before anything of its body has been read. `isUpstreamRunning` says whether the upstream that closed
+     * the connection of a response without framing still runs.
+     */
+    constructor(
+        request: http.ClientRequest,
+        readonly response: http.IncomingMessage,
+        private readonly isUpstreamRunning: () => Promise<boolean>,
+    ) {
+        this.framing = framingOf(request.method, response);
+        this.isRequestWritten = request.writableFinished;
+        response.once("end", () => this.wasRead = true);
+        const { socket } = response;
+        // A reset is reported as the end too, if it is found together with data; the connection has no peer any more then.
+        const onEnd = () => this.closedInOrder = socket.remoteAddress !== undefined;
+        socket.prependOnceListener("end", onEnd);
+        this.end = new Promise((resolve) =>
+            response.once("close", () => {
+                socket.off("end", onEnd);
+                resolve(this.findEnd());
+            })
+        );
+    }
+
+    private async findEnd(): Promise<AnswerEnd> {
+        if (!this.wasRead) {
+            return this.response.errored ? AnswerEnd.Cut : AnswerEnd.Abandoned;
+        }
+        if (this.framing !== Framing.Close) {
+            return AnswerEnd.Whole;
+        }
+        if (!this.closedInOrder) {
+            return AnswerEnd.Reset;
+        }
+        if (!this.isRequestWritten) {
+            return AnswerEnd.Early;
+        }
+        return await this.isUpstreamRunning() ? AnswerEnd.Whole : AnswerEnd.Stopped;
+    }
+}
+
+function framingOf(method: string, { headers, statusCode }: http.IncomingMessage): Framing {
+    if (method === "HEAD" || STATUSES_WITHOUT_BODY.has(statusCode)) {
+        return Framing.None;
+    }
+    if (headers["transfer-encoding"] !== undefined) {
+        return Framing.Chunks;
+    }
+    return headers["content-length"] === undefined ? Framing.Close : Framing.Length;
+}
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -4,6 +4,7 @@
 import * as http from "node:http";
 import * as heads from "../head.js";
 import * as agents from "./agent.js";
+import * as answers from "./answer.js";
 import * as lines from "./lineends.js";
 import * as traces from "./trace.js";
 
@@ -63,6 +64,7 @@
     | {
         readonly progress: CallProgress.Responded;
         readonly response: http.IncomingMessage;
+        readonly answer: answers.Answer;
         readonly trace?: traces.CallTrace;
     }
     | {
@@ -190,7 +192,8 @@
             if (!isFramed(response)) {
                 response.socket.once("end", () => closedByUpstream.add(response));
             }
-            resolve({ progress: CallProgress.Responded, response, trace: trace() });
+            const answer = new answers.Answer(request, response, () => Promise.resolve(true));
+            resolve({ progress: CallProgress.Responded, response, answer, trace: trace() });
         });
         request.end(call.body);
     });
