--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -1,6 +1,6 @@
 import type * as routing from "@citronlead/routing";
 import type * as contexts from "./context.js";
-import * as sends from "./send.js";
+import * as controls from "./control.js";
 import * as calls from "./upstream/call.js";
 import * as notices from "./upstream/notices.js";
 
@@ -63,9 +63,9 @@
     { path, silentIsRunning }: Probe,
 ): Promise<boolean | undefined> {
     const call = { method: "GET", path, body: undefined };
-    const outcome = await sends.startControlCall(context, upstream, call, {
+    const outcome = await controls.startControlCall(context, upstream, call, {
         name: "probe",
-        purpose: sends.ControlPurpose.Aftercare,
+        purpose: controls.ControlPurpose.Aftercare,
         timeoutMs: RESPONSE_TIMEOUT_MS,
     });
     if (outcome.progress !== calls.CallProgress.Responded) {
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -2,9 +2,9 @@
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
 import * as background from "../background.js";
+import * as controls from "../control.js";
 import type * as exchanges from "../exchange.js";
 import * as regions from "../regions.js";
-import * as sends from "../send.js";
 import type * as turns from "../turns.js";
 import * as ranking from "../upstream/ranking.js";
 import type * as wires from "../wire.js";
@@ -304,9 +304,9 @@
     if (!(await context.limits.permitSend(candidate.upstream, dispatch.WarmUpSend.Reserve)).granted) {
         return undefined;
     }
-    const outcome = await sends.callEngine(context, candidate, call, {
+    const outcome = await controls.callEngine(context, candidate, call, {
         name: "reserve",
-        purpose: sends.ControlPurpose.Work,
+        purpose: controls.ControlPurpose.Work,
         timeoutMs: RESERVE_TIMEOUT_MS,
     });
     const now = context.clock();
@@ -350,12 +350,12 @@
     { context, metadata }: exchanges.Exchange,
     candidate: dispatch.Candidate,
     call: wires.EngineCall,
-    options: Omit<sends.ControlOptions, "purpose">,
+    options: Omit<controls.ControlOptions, "purpose">,
 ): void {
     const { log } = context;
     background.runInBackground(log, options.name, async () => {
-        const purpose = sends.ControlPurpose.Aftercare;
-        const outcome = await sends.callEngine(context, candidate, call, { ...options, purpose });
+        const purpose = controls.ControlPurpose.Aftercare;
+        const outcome = await controls.callEngine(context, candidate, call, { ...options, purpose });
         if (outcome.effect !== decision.Effect.Known) {
             log.decision("failed to release engine memory", {
                 requestId: metadata.requestId,
--- a/packages/gateway/src/model/stages.ts
+++ b/packages/gateway/src/model/stages.ts
@@ -4,7 +4,7 @@
 import * as routing from "@citronlead/routing";
 import * as background from "../background.js";
 import type * as contexts from "../context.js";
-import * as sends from "../send.js";
+import * as controls from "../control.js";
 
 /** Key of the host that may order stages, for rendezvous hashing. */
 const DUTY = "stages";
@@ -138,9 +138,9 @@
             // An incarnation accepts one order in all, also if this one arrives late or another host has sent one.
             expectedOrders: 0,
         });
-        const outcome = await sends.callEngine(this.context, candidate, call, {
+        const outcome = await controls.callEngine(this.context, candidate, call, {
             name: "order",
-            purpose: sends.ControlPurpose.Work,
+            purpose: controls.ControlPurpose.Work,
             timeoutMs: ORDER_TIMEOUT_MS,
         });
         log.notice("stage ordered", {
