Know the end of an answer in one place: what the host has closed itself is not whole

Cause: `isComplete` asked whether the parser had seen the end of the answer, not whether its reader had got it; an answer that the host destroys behind that counts as whole. Each of three readers composed framing, the parser's state, the close of the connection and the question whether the upstream runs for itself. Now `Answer` follows the response from its head on, and its one state, set when the response has closed, is all that a reader asks.

--- a/packages/gateway/src/bodyrelay.ts
+++ b/packages/gateway/src/bodyrelay.ts
@@ -1,11 +1,10 @@
 import * as decision from "@citronlead/decision";
-import type * as http from "node:http";
 import * as background from "./background.js";
 import * as connections from "./connections.js";
 import * as exchanges from "./exchange.js";
 import * as headers from "./headers.js";
 import * as streams from "./model/relay.js";
-import * as calls from "./upstream/call.js";
+import * as answers from "./upstream/answer.js";
 import * as flows from "./upstream/flow.js";
 
 /** How the relay of a body ended. */
@@ -35,20 +34,18 @@
 
 /** What is known of a body that is relayed. */
 export interface BodySource {
-    readonly response: http.IncomingMessage;
+    readonly answer: answers.Answer;
     /** What has been read of it. */
     readonly start?: Buffer;
-    /** Whether the end of a body without framing was meant by its upstream. */
-    readonly confirmEnd: () => Promise<boolean>;
 }
 
 /**
  * Relays a response whose body is sent on as it arrives, with its length if it names one, no faster than its caller reads it. Ends the
  * response to the caller; one whose body is not complete is aborted.
  */
-export function relayBody(exchange: exchanges.Exchange, body: BodySource): Promise<BodyEnd> {
+export function relayBody(exchange: exchanges.Exchange, { answer, start }: BodySource): Promise<BodyEnd> {
     const { context, response } = exchange;
-    const { response: source, start } = body;
+    const { response: source } = answer;
     const { clock } = context;
     const memory = connections.memoryOf(exchange.request);
     const pieces = new decision.TokenBucket(streams.STREAM_PIECES, clock());
@@ -91,9 +88,9 @@
             source.destroy();
             reject(error);
         };
-        const onClose = async () => {
+        const onEnd = (end: answers.AnswerEnd) => {
             exchange.signal.removeEventListener("abort", onAbort);
-            const isWhole = calls.isComplete(source) && (calls.isFramed(source) || await body.confirmEnd());
+            const isWhole = end === answers.AnswerEnd.Whole;
             if (isWhole) {
                 exchange.endResponse(
                     status < 300 ? exchanges.FinalReason.Served : exchanges.FinalReason.UpstreamFailure,
@@ -105,7 +102,7 @@
             resolve(isWhole ? BodyEnd.Complete : failure ?? BodyEnd.Broken);
         };
         exchange.signal.addEventListener("abort", onAbort);
-        source.on("close", () => void onClose().catch(fail));
+        answer.end.then(onEnd).catch(fail);
         if (memory?.tryTake(UNRELAYED_BYTES) === false) {
             abort(BodyEnd.NoCaller);
         }
@@ -127,8 +124,5 @@
             }),
         );
         flow.start();
-        if (source.closed) {
-            source.emit("close");
-        }
     });
 }
--- a/packages/gateway/src/control.ts
+++ b/packages/gateway/src/control.ts
@@ -93,7 +93,7 @@
             ? decision.noEffect(outcome.reason)
             : decision.unknownEffect(outcome.reason);
     }
-    const bytes = await calls.readBody(outcome.response, options.timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
+    const bytes = await calls.readBody(outcome.answer, options.timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
     if (!bytes) {
         return decision.unknownEffect("answer broken off");
     }
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -73,6 +73,6 @@
             && outcome.failure === calls.CallFailure.TimedOut;
         return isSilent ? silentIsRunning : undefined;
     }
-    await calls.readBody(outcome.response, RESPONSE_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
+    await calls.readBody(outcome.answer, RESPONSE_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
     return outcome.response.statusCode !== notices.WRONG_UPSTREAM_STATUS;
 }
--- a/packages/gateway/src/model/handler.ts
+++ b/packages/gateway/src/model/handler.ts
@@ -6,8 +6,8 @@
 import type * as contexts from "../context.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
-import * as liveness from "../liveness.js";
 import * as sends from "../send.js";
+import * as answers from "../upstream/answer.js";
 import * as calls from "../upstream/call.js";
 import * as continuations from "./continuation.js";
 import * as prefills from "./prefill.js";
@@ -230,7 +230,7 @@
             responseStarted: exchange.response.headersSent,
         });
         if (problem === dispatch.StreamProblem.Status) {
-            return this.relayFailure(exchange, reservation, sequence, response);
+            return this.relayFailure(exchange, reservation, sequence, sent.answer);
         }
         if (problem !== undefined) {
             response.destroy();
@@ -242,10 +242,9 @@
         let first: { readonly at: decision.Milliseconds; readonly events: number; } | undefined;
         const end = await relays.relayEvents(
             exchange,
-            response,
+            sent.answer,
             progress,
             silence,
-            () => liveness.isStillRunning(this.context, upstream),
             () => {
                 first ??= { at: this.context.clock(), events: exchange.relayedEvents };
                 if (progress.softwareVersion === undefined && exchange.route.resumable) {
@@ -337,11 +336,12 @@
         exchange: exchanges.Exchange,
         reservation: reservations.Reservation,
         sequence: dispatch.StreamSequence,
-        response: Extract<sends.SendOutcome, { kind: sends.SendKind.Response; }>["response"],
+        answer: answers.Answer,
     ): Promise<dispatch.SendEffect | undefined> {
+        const { response } = answer;
         const status = response.statusCode ?? 502;
         const body = await calls.readBody(
-            response,
+            answer,
             exchange.remainingMs,
             undefined,
             connections.memoryOf(exchange.request),
@@ -358,7 +358,7 @@
         if (exchange.route.resumable && exchange.route.maxAttempts > 1 && status >= MIN_FAILURE_STATUS) {
             return dispatch.SendEffect.RanAndFailed;
         }
-        const framed = calls.isFramed(response);
+        const framed = answer.framing !== answers.Framing.Close;
         const relayedHeaders = headers.responseHeaders(response.rawHeaders, framed ? body.length : undefined);
         exchange.beginResponse(status, relayedHeaders, framed);
         exchange.endResponse(exchanges.FinalReason.UpstreamFailure, body);
--- a/packages/gateway/src/model/prefill.ts
+++ b/packages/gateway/src/model/prefill.ts
@@ -79,7 +79,7 @@
                 return undefined;
             }
             const timeoutMs = Math.min(exchange.remainingMs, QUEUE_ALLOWANCE_MS);
-            const body = await calls.readBody(sent.response, timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
+            const body = await calls.readBody(sent.answer, timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
             const handle = body && sent.response.statusCode === 200
                 ? context.wireFormat.parsePrefillHandle(json.parseJson(body))
                 : undefined;
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -1,13 +1,12 @@
 import * as bodies from "@citronlead/bodies";
 import * as decision from "@citronlead/decision";
 import type * as dispatch from "@citronlead/dispatch";
-import type * as http from "node:http";
 import * as background from "../background.js";
 import * as connections from "../connections.js";
 import * as exchanges from "../exchange.js";
 import * as headers from "../headers.js";
 import * as quarantines from "../quarantine.js";
-import * as calls from "../upstream/call.js";
+import * as answers from "../upstream/answer.js";
 import * as flows from "../upstream/flow.js";
 import * as events from "./events.js";
 
@@ -50,18 +49,18 @@
 }
 
 /**
- * Relays complete events as they arrive, until the stream ends, breaks or is silent for too long. `confirmEnd` says
- * whether the end of a stream without framing was meant by its upstream; `onEvents` is called before events are relayed.
+ * Relays complete events as they arrive, until the stream ends, breaks or is silent for too long. `onEvents` is called
+ * before events are relayed.
  */
 export function relayEvents(
     exchange: exchanges.Exchange,
-    source: http.IncomingMessage,
+    answer: answers.Answer,
     { sequence }: StreamProgress,
     silence: SilenceLimits,
-    confirmEnd: () => Promise<boolean>,
     onEvents: () => void,
 ): Promise<RelayEnd> {
     const { context, response } = exchange;
+    const { response: source } = answer;
     const splitter = new events.EventSplitter({
         acceptsEvent: (id) => sequence.addEvent(id),
         passesComments: () => sequence.passesComments,
@@ -142,17 +141,12 @@
             }
         };
         source.on("data", background.guardListener(fail, onData));
-        const isWhole = async () => {
-            if (calls.isFramed(source) || !calls.isComplete(source)) {
-                return calls.isComplete(source);
-            }
-            return exchange.relayedEvents > eventsBefore && splitter.isBetweenEvents && await confirmEnd();
-        };
-        const onClose = async () => {
-            clearTimeout(timer);
+        source.once("close", () => clearTimeout(timer));
+        const onEnd = (end: answers.AnswerEnd) => {
             held.trySet(0);
             exchange.signal.removeEventListener("abort", onAbort);
-            const whole = !exchange.isOver && await isWhole();
+            const hasEvents = exchange.relayedEvents > eventsBefore && splitter.isBetweenEvents;
+            const whole = end === answers.AnswerEnd.Whole && (answer.framing !== answers.Framing.Close || hasEvents);
             if (exchange.isOver) {
                 resolve(RelayEnd.Over);
                 return;
@@ -171,9 +165,6 @@
             exchange.endResponse(exchanges.FinalReason.Served);
             resolve(RelayEnd.Complete);
         };
-        source.on("close", () => void onClose().catch(fail));
-        if (source.closed) {
-            source.emit("close");
-        }
+        answer.end.then(onEnd).catch(fail);
     });
 }
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -7,9 +7,9 @@
 import * as connections from "./connections.js";
 import * as exchanges from "./exchange.js";
 import * as headers from "./headers.js";
-import * as liveness from "./liveness.js";
 import * as regions from "./regions.js";
 import * as sends from "./send.js";
+import * as answers from "./upstream/answer.js";
 import * as calls from "./upstream/call.js";
 import * as ranking from "./upstream/ranking.js";
 
@@ -154,10 +154,10 @@
 async function relayResponse(
     exchange: exchanges.Exchange,
     upstream: routing.Upstream,
-    { response, metadata }: Extract<sends.SendOutcome, { kind: sends.SendKind.Response; }>,
+    { answer, response, metadata }: Extract<sends.SendOutcome, { kind: sends.SendKind.Response; }>,
     runs: number,
 ): Promise<dispatch.SendEffect | undefined> {
-    const read = await calls.readStart(response, exchange.remainingMs, connections.memoryOf(exchange.request));
+    const read = await calls.readStart(answer, exchange.remainingMs, connections.memoryOf(exchange.request));
     const status = response.statusCode ?? 502;
     const success = status >= 200 && status < 300;
     if (read.kind === calls.BodyKind.Broken && (!exchange.isOver || bodyrelays.isPastRouteTimeout(exchange))) {
@@ -170,15 +170,11 @@
         return dispatch.SendEffect.MayHaveRun;
     }
     const { body } = read;
-    const framed = calls.isFramed(response);
-    const confirmEnd = () => liveness.isStillRunning(exchange.context, upstream);
+    const framed = answer.framing !== answers.Framing.Close;
     // Without a length and a body, the head itself may have been cut before the length.
     if (!framed && success && body.length === 0) {
         return dispatch.SendEffect.MayHaveRun;
     }
-    if (!framed && read.kind === calls.BodyKind.Whole && !(await confirmEnd())) {
-        return dispatch.SendEffect.MayHaveRun;
-    }
     if (exchange.isOver) {
         response.destroy();
         return undefined;
@@ -188,7 +184,7 @@
         return dispatch.SendEffect.RanAndFailed;
     }
     if (read.kind === calls.BodyKind.Long) {
-        const end = await bodyrelays.relayBody(exchange, { response, start: body, confirmEnd });
+        const end = await bodyrelays.relayBody(exchange, { answer, start: body });
         if (end === bodyrelays.BodyEnd.Complete) {
             exchange.context.quarantine.recordServed(exchange);
         }
--- a/packages/gateway/src/relay/client.ts
+++ b/packages/gateway/src/relay/client.ts
@@ -6,6 +6,7 @@
 import * as regions from "../regions.js";
 import * as sends from "../send.js";
 import * as agents from "../upstream/agent.js";
+import * as answers from "../upstream/answer.js";
 import * as calls from "../upstream/call.js";
 import * as envelopes from "./envelope.js";
 
@@ -121,19 +122,19 @@
                 this.relayHosts.recordAble(host);
             }
             // Hosts frame what they send each other, so that without framing the head is not whole.
-            if (refusal === undefined && !calls.isFramed(response)) {
+            if (refusal === undefined && outcome.answer.framing === answers.Framing.Close) {
                 response.destroy();
                 exchange.refuseAsLost();
                 return RelayAnswer.Final;
             }
             if (refusal === undefined) {
-                await bodyrelays.relayBody(exchange, { response, confirmEnd: () => Promise.resolve(false) });
+                await bodyrelays.relayBody(exchange, { answer: outcome.answer });
                 return RelayAnswer.Final;
             }
             if (proof !== undefined) {
                 run.prove(proof);
             }
-            await calls.readBody(response, REFUSAL_TIMEOUT_MS, MAX_REFUSAL_BYTES);
+            await calls.readBody(outcome.answer, REFUSAL_TIMEOUT_MS, MAX_REFUSAL_BYTES);
             if (UNABLE_REASONS.has(refusal.reason) && proof !== undefined) {
                 return RelayAnswer.Unable;
             }
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -5,7 +5,9 @@
 import type * as http from "node:http";
 import * as evidences from "./evidence.js";
 import type * as exchanges from "./exchange.js";
+import * as liveness from "./liveness.js";
 import * as regions from "./regions.js";
+import type * as answers from "./upstream/answer.js";
 import * as calls from "./upstream/call.js";
 import * as notices from "./upstream/notices.js";
 import type * as wires from "./wire.js";
@@ -38,6 +40,7 @@
     | {
         readonly kind: SendKind.Response;
         readonly response: http.IncomingMessage;
+        readonly answer: answers.Answer;
         readonly metadata: wires.ResponseMetadata;
     }
     | {
@@ -129,6 +132,7 @@
         body: exchange.body,
         headersTimeoutMs: Math.min(options.headersTimeoutMs, exchange.remainingMs),
         run,
+        isUpstreamRunning: () => liveness.isStillRunning(context, upstream),
         signal: exchange.signal,
     });
     const proof = findProof(exchange, outcome);
@@ -219,7 +223,7 @@
             ? { kind: SendKind.NotRun, result: dispatch.SendResult.Unreachable, reason: outcome.reason }
             : { kind: SendKind.Lost, reason: outcome.reason, failure: outcome.failure };
     }
-    const { response } = outcome;
+    const { answer, response } = outcome;
     const metadata = exchange.context.wireFormat.parseResponse(response.headers);
     exchange.context.notices.observe(upstream, response, metadata, { call, requestId: exchange.metadata.requestId });
     if (metadata.leaving) {
@@ -231,7 +235,7 @@
         exchange.context.limits.observe(upstream, metadata.limitPerSecond, sentAt);
     }
     if (proof !== undefined) {
-        await calls.readBody(response, REFUSAL_BODY_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
+        await calls.readBody(answer, REFUSAL_BODY_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
         return {
             kind: SendKind.NotRun,
             result: wrongUpstream ? dispatch.SendResult.Excluded : dispatch.SendResult.Full,
@@ -243,7 +247,7 @@
         const reason = `status ${response.statusCode} marked as not run`;
         return { kind: SendKind.Lost, reason, failure: calls.CallFailure.Malformed };
     }
-    return { kind: SendKind.Response, response, metadata };
+    return { kind: SendKind.Response, response, answer, metadata };
 }
 
 function recordHealth(
--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -20,8 +20,6 @@
     Abandoned = "abandoned",
     /** The connection of a response without framing was reset. */
     Reset = "reset",
-    /** A response without framing, which began before its request had been written. */
-    Early = "early",
     /** The upstream of a response without framing stopped. */
     Stopped = "stopped",
 }
@@ -34,7 +32,6 @@
     readonly framing: Framing;
     /** Resolves when the response has closed; what a reader has got is whole only with `AnswerEnd.Whole`. */
     readonly end: Promise<AnswerEnd>;
-    private readonly isRequestWritten: boolean;
     private wasRead = false;
     private closedInOrder = false;
 
@@ -48,11 +45,10 @@
         private readonly isUpstreamRunning: () => Promise<boolean>,
     ) {
         this.framing = framingOf(request.method, response);
-        this.isRequestWritten = request.writableFinished;
-        response.once("end", () => this.wasRead = true);
+        // A reader that closes the response at its last piece has not got it.
+        response.once("end", () => this.wasRead = !response.destroyed);
         const { socket } = response;
-        // A reset is reported as the end too, if it is found together with data; the connection has no peer any more then.
-        const onEnd = () => this.closedInOrder = socket.remoteAddress !== undefined;
+        const onEnd = () => this.closedInOrder = true;
         socket.prependOnceListener("end", onEnd);
         this.end = new Promise((resolve) =>
             response.once("close", () => {
@@ -72,9 +68,6 @@
         if (!this.closedInOrder) {
             return AnswerEnd.Reset;
         }
-        if (!this.isRequestWritten) {
-            return AnswerEnd.Early;
-        }
         return await this.isUpstreamRunning() ? AnswerEnd.Whole : AnswerEnd.Stopped;
     }
 }
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -29,6 +29,8 @@
     readonly ownConnection?: boolean;
     /** Leave to send a request that the call could run; undefined for calls that run none, such as control calls. */
     readonly run: dispatch.RunEntry | undefined;
+    /** Whether the upstream that closed the connection of a response without framing still runs; taken for granted if undefined. */
+    readonly isUpstreamRunning?: (() => Promise<boolean>) | undefined;
     /** Cancels the call and closes its connection when aborted. */
     readonly signal: AbortSignal | undefined;
 }
@@ -189,10 +191,11 @@
                 response.once("end", () => response.socket.destroy());
             }
             response.on("error", () => undefined);
-            if (!isFramed(response)) {
-                response.socket.once("end", () => closedByUpstream.add(response));
-            }
-            const answer = new answers.Answer(request, response, () => Promise.resolve(true));
+            const answer = new answers.Answer(
+                request,
+                response,
+                call.isUpstreamRunning ?? (() => Promise.resolve(true)),
+            );
             resolve({ progress: CallProgress.Responded, response, answer, trace: trace() });
         });
         request.end(call.body);
@@ -223,22 +226,6 @@
     return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
-/** Responses without framing whose connection the upstream closed with FIN rather than a reset. */
-const closedByUpstream = new WeakSet<http.IncomingMessage>();
-
-/** Whether the end of the response body is known without the connection being closed. */
-export function isFramed({ headers, statusCode }: http.IncomingMessage): boolean {
-    return headers["content-length"] !== undefined
-        || headers["transfer-encoding"] !== undefined
-        || statusCode === 204
-        || statusCode === 304;
-}
-
-/** Whether a closed response is complete. One that ends with its connection is incomplete if that was reset. */
-export function isComplete(response: http.IncomingMessage): boolean {
-    return response.complete && !response.errored && (isFramed(response) || closedByUpstream.has(response));
-}
-
 /** Maximum size of the body of an engine's failure. */
 const MAX_FAILURE_BODY_BYTES = 1_048_576;
 /** Maximum size of the start of a body that is read before any of it is relayed. */
@@ -257,14 +244,14 @@
  * memory beside the others, or takes too long; its connection is closed then.
  */
 export async function readBody(
-    response: http.IncomingMessage,
+    answer: answers.Answer,
     timeoutMs: decision.Milliseconds,
     limitBytes = MAX_FAILURE_BODY_BYTES,
     memory: bodies.Memory = controlBodies,
 ): Promise<Buffer | undefined> {
-    const read = await readStart(response, timeoutMs, memory, limitBytes);
+    const read = await readStart(answer, timeoutMs, memory, limitBytes);
     if (read.kind === BodyKind.Long) {
-        response.destroy();
+        answer.response.destroy();
     }
     return read.kind === BodyKind.Whole ? read.body : undefined;
 }
@@ -287,18 +274,20 @@
 
 /** Reads a response body up to a limit of bytes or pieces. Unless it is whole or long, its connection is closed. */
 export function readStart(
-    response: http.IncomingMessage,
+    answer: answers.Answer,
     timeoutMs: decision.Milliseconds,
     memory: bodies.Memory = controlBodies,
     limitBytes = MAX_START_BYTES,
 ): Promise<BodyStart> {
+    const { response } = answer;
     return new Promise((resolve) => {
         const collector = new bodies.BodyCollector(limitBytes, memory);
         const timer = setTimeout(() => response.destroy(), Math.max(1, timeoutMs));
+        let isFinished = false;
         const finish = (start: BodyStart) => {
             clearTimeout(timer);
             response.off("data", onData);
-            response.off("close", onClose);
+            isFinished = true;
             collector.discard();
             resolve(start);
         };
@@ -321,11 +310,13 @@
                 finish({ kind: BodyKind.Long, body: isLong ? Buffer.concat([body, piece]) : body });
             }
         };
-        const onClose = () =>
-            finish(
-                isComplete(response) ? { kind: BodyKind.Whole, body: collector.finish() } : { kind: BodyKind.Broken },
-            );
+        const onEnd = (end: answers.AnswerEnd) => {
+            if (!isFinished) {
+                const isWhole = end === answers.AnswerEnd.Whole;
+                finish(isWhole ? { kind: BodyKind.Whole, body: collector.finish() } : { kind: BodyKind.Broken });
+            }
+        };
         response.on("data", onData);
-        response.on("close", onClose);
+        void answer.end.then(onEnd);
     });
 }
--- a/packages/gateway/test/notsentcalls.ts
+++ b/packages/gateway/test/notsentcalls.ts
@@ -65,7 +65,7 @@
             notSent.push(id);
         }
         else if (outcome.progress === calls.CallProgress.Responded) {
-            await calls.readBody(outcome.response, 1_000);
+            await calls.readBody(outcome.answer, 1_000);
         }
     };
     await Promise.all(Array.from({ length: CONCURRENCY }, async () => {
