A reset is no end of an answer without framing

Callers saw: a part of an answer as a complete one, of plain services and of streams. At that moment the kernel has no peer for the connection any more, so that `remoteAddress` is undefined; after a FIN it is the server's.

--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -48,7 +48,8 @@
         // A reader that closes the response at its last piece has not got it.
         response.once("end", () => this.wasRead = !response.destroyed);
         const { socket } = response;
-        const onEnd = () => this.closedInOrder = true;
+        // A reset is reported as the end too, if it is found together with data; the connection has no peer any more then.
+        const onEnd = () => this.closedInOrder = socket.remoteAddress !== undefined;
         socket.prependOnceListener("end", onEnd);
         this.end = new Promise((resolve) =>
             response.once("close", () => {
