An answer without framing that began before its request was written has no known end

Cause: a FIN was taken for the end of the answer although the server had not read the request, and so could not have answered it. A server that reads its request before it answers has got all that was written by then, so that the head of an answer comes after the last byte has left; where it comes earlier, the close proves nothing. Such an answer counts as lost (502, or another send where the request may be repeated). An upload that the operating system takes whole while its server does not read it is not told apart.

--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -20,6 +20,8 @@
     Abandoned = "abandoned",
     /** The connection of a response without framing was reset. */
     Reset = "reset",
+    /** A response without framing, which began before its request had been written. */
+    Early = "early",
     /** The upstream of a response without framing stopped. */
     Stopped = "stopped",
 }
@@ -32,6 +34,7 @@
     readonly framing: Framing;
     /** Resolves when the response has closed; what a reader has got is whole only with `AnswerEnd.Whole`. */
     readonly end: Promise<AnswerEnd>;
+    private readonly isRequestWritten: boolean;
     private wasRead = false;
     private closedInOrder = false;
 
@@ -45,6 +48,7 @@
         private readonly isUpstreamRunning: () => Promise<boolean>,
     ) {
         this.framing = framingOf(request.method, response);
+        this.isRequestWritten = request.writableFinished;
         // A reader that closes the response at its last piece has not got it.
         response.once("end", () => this.wasRead = !response.destroyed);
         const { socket } = response;
@@ -69,6 +73,9 @@
         if (!this.closedInOrder) {
             return AnswerEnd.Reset;
         }
+        if (!this.isRequestWritten) {
+            return AnswerEnd.Early;
+        }
         return await this.isUpstreamRunning() ? AnswerEnd.Whole : AnswerEnd.Stopped;
     }
 }
