Silence of an upstream is what passes while this host reads from it

Cause: the timer of an engine's silence ran on while the host itself read nothing, waiting for the caller or for its pace.

--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -9,6 +9,7 @@
 import * as answers from "../upstream/answer.js";
 import * as flows from "../upstream/flow.js";
 import * as events from "./events.js";
+import * as silences from "./silencewatch.js";
 
 /** How the relay of a stream ended. */
 export enum RelayEnd {
@@ -76,20 +77,12 @@
             source.destroy();
             reject(error);
         };
-        let timer: NodeJS.Timeout;
-        const waitForEvents = () => {
-            timer = setTimeout(() => {
-                if (silence.canTakeOver()) {
-                    source.destroy();
-                    return;
-                }
-                timer = setTimeout(() => {
-                    silence.onSuspected();
-                    timer = setTimeout(() => source.destroy(), silence.abandonedMs - silence.suspectedMs);
-                }, silence.suspectedMs - silence.takeoverMs);
-            }, silence.takeoverMs);
-        };
-        waitForEvents();
+        const silenceWatch = new silences.SilenceWatch(
+            silence,
+            context.clock,
+            () => flow.heldMs,
+            () => source.destroy(),
+        );
         const forward = (bytes: Buffer) => {
             if (!response.headersSent) {
                 const relayedHeaders = headers.responseHeaders(source.rawHeaders, undefined);
@@ -119,8 +112,7 @@
             }
             const completeEvents = splitter.push(bytes);
             if (completeEvents) {
-                clearTimeout(timer);
-                waitForEvents();
+                silenceWatch.restart();
                 exchange.relayedEvents += splitter.lastEventCount;
                 onEvents();
                 forward(completeEvents);
@@ -141,7 +133,7 @@
             }
         };
         source.on("data", background.guardListener(fail, onData));
-        source.once("close", () => clearTimeout(timer));
+        source.once("close", () => silenceWatch.stop());
         const onEnd = (end: answers.AnswerEnd) => {
             held.trySet(0);
             exchange.signal.removeEventListener("abort", onAbort);
--- a/packages/gateway/src/upstream/flow.ts
+++ b/packages/gateway/src/upstream/flow.ts
@@ -9,6 +9,8 @@
     private readonly startBytes: number;
     private countedBytes = 0;
     private holds = 0;
+    private heldSince: decision.Milliseconds | undefined;
+    private totalHeldMs: decision.Milliseconds = 0;
     private callerHoldsSince: decision.Milliseconds | undefined;
     private callerHeldMs: decision.Milliseconds = 0;
 
@@ -29,6 +31,11 @@
         return this.callerHeldMs + (this.callerHoldsSince === undefined ? 0 : this.clock() - this.callerHoldsSince);
     }
 
+    /** For how long nothing has been read of it, whatever the reason. */
+    get heldMs(): decision.Milliseconds {
+        return this.totalHeldMs + (this.heldSince === undefined ? 0 : this.clock() - this.heldSince);
+    }
+
     /** Reads on, unless something holds the answer up. */
     start(): void {
         if (this.holds === 0 && !this.source.closed) {
@@ -68,12 +75,17 @@
 
     private hold(): void {
         this.holds++;
+        this.heldSince ??= this.clock();
         this.source.pause();
         this.socket.pause();
     }
 
     private letGo(): void {
         this.holds--;
+        if (this.holds === 0) {
+            this.totalHeldMs = this.heldMs;
+            this.heldSince = undefined;
+        }
         this.start();
     }
 }
