--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -51,16 +51,12 @@
         this.isRequestWritten = request.writableFinished;
         // A reader that closes the response at its last piece has not got it.
         response.once("end", () => this.wasRead = !response.destroyed);
-        const { socket } = response;
-        // A reset is reported as the end too, if it is found together with data; the connection has no peer any more then.
-        const onEnd = () => this.closedInOrder = socket.remoteAddress !== undefined;
-        socket.prependOnceListener("end", onEnd);
-        this.end = new Promise((resolve) =>
-            response.once("close", () => {
-                socket.off("end", onEnd);
-                resolve(this.findEnd());
-            })
-        );
+        if (this.framing === Framing.Close) {
+            const { socket } = response;
+            // A reset found together with data is reported as the end too; the connection has no peer any more then.
+            socket.prependOnceListener("end", () => this.closedInOrder = socket.remoteAddress !== undefined);
+        }
+        this.end = new Promise((resolve) => response.once("close", () => resolve(this.findEnd())));
     }
 
     private async findEnd(): Promise<AnswerEnd> {
