--- a/packages/gateway/test/heldanswers.test.ts
+++ b/packages/gateway/test/heldanswers.test.ts
@@ -4,7 +4,7 @@
 import * as net from "node:net";
 import * as fixtures from "./fixture.js";
 
-const PORT_OFFSET = 4_080;
+const PORT_OFFSET = 4_120;
 /** More than the operating system takes for a caller that does not read. */
 const EVENT_COUNT = 9_000;
 const STREAM = Array.from({ length: EVENT_COUNT }, (_, index) => `id: ${index + 1}\ndata: ${"t".repeat(1_000)}\n\n`)
