The head of another answer ends a body that cannot be whole

Cause: the end of an answer was known, not what lies before it; whatever the parser gives out was taken for the body. Now the bytes of a body are searched for a head that bears the header in which this upstream repeats the ids of requests; such a body, or one that ends within a head, is not whole (502, or broken off). A body that quotes a head without that header passes.

--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import * as secondheads from "./secondhead.js";
 
 /** What ends the body of a response. */
 export enum Framing {
@@ -22,6 +23,8 @@
     Reset = "reset",
     /** A response without framing, which began before its request had been written. */
     Early = "early",
+    /** The head of another response stands within the body, or right behind it. */
+    Joined = "joined",
     /** The upstream of a response without framing stopped. */
     Stopped = "stopped",
 }
@@ -37,20 +40,27 @@
     private readonly isRequestWritten: boolean;
     private wasRead = false;
     private closedInOrder = false;
+    private secondHeads: secondheads.SecondHeadScanner | undefined;
+    private isJoined = false;
 
     /**
      * Takes a response before anything of its body has been read. `isUpstreamRunning` says whether the upstream that closed
-     * the connection of a response without framing still runs.
+     * the connection of a response without framing still runs; `id` is that of the call, if its answers repeat it.
      */
     constructor(
         request: http.ClientRequest,
         readonly response: http.IncomingMessage,
         private readonly isUpstreamRunning: () => Promise<boolean>,
+        id: string | undefined,
     ) {
         this.framing = framingOf(request.method, response);
         this.isRequestWritten = request.writableFinished;
         // A reader that closes the response at its last piece has not got it.
         response.once("end", () => this.wasRead = !response.destroyed);
+        const idHeader = id === undefined ? undefined : secondheads.idHeaderOf(response, id);
+        if (idHeader !== undefined) {
+            this.scanForSecondHead(new secondheads.SecondHeadScanner(idHeader));
+        }
         if (this.framing === Framing.Close) {
             const { socket } = response;
             // A reset found together with data is reported as the end too; the connection has no peer any more then.
@@ -59,7 +69,23 @@
         this.end = new Promise((resolve) => response.once("close", () => resolve(this.findEnd())));
     }
 
+    private scanForSecondHead(scanner: secondheads.SecondHeadScanner): void {
+        const { response } = this;
+        const push = response.push.bind(response);
+        this.secondHeads = scanner;
+        response.push = (piece: Buffer | null, encoding?: BufferEncoding) => {
+            if (piece !== null && !this.isJoined && scanner.push(piece)) {
+                this.isJoined = true;
+                response.destroy();
+            }
+            return !this.isJoined && push(piece, encoding);
+        };
+    }
+
     private async findEnd(): Promise<AnswerEnd> {
+        if (this.isJoined || (this.wasRead && this.secondHeads?.endsWithinHead)) {
+            return AnswerEnd.Joined;
+        }
         if (!this.wasRead) {
             return this.response.errored ? AnswerEnd.Cut : AnswerEnd.Abandoned;
         }
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -191,11 +191,8 @@
                 response.once("end", () => response.socket.destroy());
             }
             response.on("error", () => undefined);
-            const answer = new answers.Answer(
-                request,
-                response,
-                call.isUpstreamRunning ?? (() => Promise.resolve(true)),
-            );
+            const isUpstreamRunning = call.isUpstreamRunning ?? (() => Promise.resolve(true));
+            const answer = new answers.Answer(request, response, isUpstreamRunning, id);
             resolve({ progress: CallProgress.Responded, response, answer, trace: trace() });
         });
         request.end(call.body);
