Search bodies for a second head within bounds

A body that quotes many status lines took 43 ms for 64 KiB (beside load 34); now at most 256 of them are looked at, and the next lines up to 24.

--- a/packages/gateway/src/upstream/secondhead.ts
+++ b/packages/gateway/src/upstream/secondhead.ts
@@ -1,51 +1,60 @@
 import type * as http from "node:http";
 
 const START = "HTTP/1.";
-const STATUS_LINE = /^HTTP\/1\.\d \d{3}[^\n]*$/;
-const HEADER_LINE = /^[^\s:]+:/;
-/** Length beyond which what began like a head is none. */
+/** Bounded parts of a head: a body may hold any number of texts that begin like one. */
+const STATUS_LINE = String.raw`HTTP/1\.\d \d{3}[^\n]{0,200}\n`;
+const HEADER_LINES = String.raw`(?:[^\s:]{1,100}:[^\n]{0,256}\n){0,24}`;
+/** A text that ends within a head, or within its first line. */
+const UNFINISHED = new RegExp(String.raw`(?:${STATUS_LINE}${HEADER_LINES}|HTTP/1\.)[^\n]{0,256}$`);
+/** Length of the longest text that is kept as the beginning of a head. */
 const MAX_HEAD_BYTES = 8_192;
+/** Status lines that a body may quote before it is no longer searched. */
+const MAX_QUOTED_LINES = 256;
 const NO_BYTES = Buffer.alloc(0);
 
-/** The name, in lower case, of the header in which a response repeats the id of its call; undefined if none does. */
+/** The name of the header in which a response repeats the id of its call; undefined if none does. */
 export function idHeaderOf({ rawHeaders }: Pick<http.IncomingMessage, "rawHeaders">, id: string): string | undefined {
     const index = rawHeaders.findIndex((value, at) => at % 2 === 1 && value === id);
-    return index < 0 ? undefined : rawHeaders[index - 1]?.toLowerCase();
-}
-
-/** What a text that begins like a head amounts to. */
-enum Likeness {
-    /** It names an id as the heads of answers do. */
-    Head = "head",
-    /** It may become a head with more bytes. */
-    Unfinished = "unfinished",
-    None = "none",
+    return index < 0 ? undefined : rawHeaders[index - 1];
 }
 
 /** Finds the head of another answer within a body: the body was cut, or it is followed by an answer that nothing asked for. */
 export class SecondHeadScanner {
     /** Bytes from the first on that may begin a head. */
     private candidate = NO_BYTES;
+    private readonly head: RegExp;
+    private quotedLines = 0;
 
     /** `idHeader` is the header that answers of the upstream bear their id in. */
-    constructor(private readonly idHeader: string) {}
+    constructor(idHeader: string) {
+        const name = idHeader.replace(/[^\w-]/g, String.raw`\$&`);
+        this.head = new RegExp(`${STATUS_LINE}${HEADER_LINES}${name}:`, "iy");
+    }
 
     /** Adds the next bytes of the body. Returns whether there is a second head. */
     push(piece: Buffer): boolean {
+        if (this.quotedLines > MAX_QUOTED_LINES) {
+            return false;
+        }
         const bytes = this.candidate.length === 0 ? piece : Buffer.concat([this.candidate, piece]);
-        let from = bytes.indexOf(START);
-        while (from >= 0) {
-            const likeness = this.likenessOf(bytes.toString("latin1", from, from + MAX_HEAD_BYTES));
-            if (likeness === Likeness.Head) {
+        let at = bytes.indexOf(START);
+        const text = at < 0 ? "" : bytes.toString("latin1");
+        for (; at >= 0; at = text.indexOf(START, at + START.length)) {
+            this.head.lastIndex = at;
+            if (this.head.test(text)) {
                 return true;
             }
-            if (likeness === Likeness.Unfinished && bytes.length - from < MAX_HEAD_BYTES) {
-                this.keep(bytes, from);
+            // What was kept has been counted.
+            this.quotedLines += at < this.candidate.length ? 0 : 1;
+            if (this.quotedLines > MAX_QUOTED_LINES) {
+                this.candidate = NO_BYTES;
                 return false;
             }
-            from = bytes.indexOf(START, from + START.length);
         }
-        this.keep(bytes, bytes.length - lengthOfStartAtEnd(bytes));
+        const unfinished = UNFINISHED.exec(text.slice(-MAX_HEAD_BYTES));
+        const keptLength = unfinished ? unfinished.input.length - unfinished.index : lengthOfStartAtEnd(bytes);
+        // A copy: a view would keep all that was read with it.
+        this.candidate = keptLength === 0 ? NO_BYTES : Buffer.from(bytes.subarray(-keptLength));
         return false;
     }
 
@@ -53,31 +62,6 @@
     get endsWithinHead(): boolean {
         return this.candidate.includes("\n");
     }
-
-    private keep(bytes: Buffer, from: number): void {
-        // A copy: a view would keep all that was read with it.
-        this.candidate = from >= bytes.length ? NO_BYTES : Buffer.from(bytes.subarray(from));
-    }
-
-    private likenessOf(text: string): Likeness {
-        const [statusLine = "", ...lines] = text.split("\n").map((line) => line.replace(/\r$/, ""));
-        const rest = lines.pop();
-        if (rest === undefined) {
-            return Likeness.Unfinished;
-        }
-        if (!STATUS_LINE.test(statusLine)) {
-            return Likeness.None;
-        }
-        for (const line of lines) {
-            if (!HEADER_LINE.test(line)) {
-                return Likeness.None;
-            }
-            if (line.toLowerCase().startsWith(`${this.idHeader}:`)) {
-                return Likeness.Head;
-            }
-        }
-        return Likeness.Unfinished;
-    }
 }
 
 /** Number of bytes at the end that may be the first of a status line. */
--- a/packages/gateway/test/secondhead.test.ts
+++ b/packages/gateway/test/secondhead.test.ts
@@ -27,6 +27,11 @@
         }));
     });
 
+    it("are found byte by byte", () => {
+        const body = `body${HEAD}`;
+        chai.expect(scan(body, Array.from(body, (_, index) => index)).found).to.equal(true);
+    });
+
     it("are none without the header that names the id, or with other lines before it", () => {
         fastCheck.assert(fastCheck.property(text, text, cuts, (before, after, at) => {
             chai.expect(scan(`${before}${FOREIGN_HEAD}${after}`, at).found).to.equal(false);
