A stream whose ids go back does not end as complete

Callers saw: events that come twice and numbers that go back within one answer that ends as complete, when an engine sends two streams as one (ORDER). Cause: the first answer on a stream was passed on whatever its ids, although the protocol says that they increase; only answers that go on were checked. The stream ends before the event that went back, broken off, and goes on nowhere.

--- a/packages/dispatch/src/streamsequence.ts
+++ b/packages/dispatch/src/streamsequence.ts
@@ -10,7 +10,7 @@
     NoId = "noId",
     /** An id that is not a number. */
     MalformedId = "malformedId",
-    /** An event that the caller has. */
+    /** An event that the caller has, or whose id went back. */
     Repeated = "repeated",
     /** An event further on than the next. */
     Skipped = "skipped",
@@ -35,14 +35,14 @@
 const NUMERIC_ID = /^(0|[1-9]\d{0,14})$/;
 
 /**
- * Decides what each answer adds to a stream that several upstreams may produce in turn. An answer that begins the stream is
- * its upstream's own and is passed on as it is. One that goes on has to begin with the event after the last one that the
- * caller has, and goes on in the same order: by one, unless the ids passed on before show other steps.
+ * Decides what each answer adds to a stream that several upstreams may produce in turn. An answer that begins the stream is its
+ * upstream's own and is passed on as it is, until a numeric id does not go up. One that goes on has to begin with the event after
+ * the last one that the caller has, and goes on in the same order: by one, unless the ids passed on before show other steps.
  */
 export class StreamSequence {
     private lastId: number | undefined;
     private hasEvents: boolean;
-    /** Whether the last event has an id, and ids have only increased. */
+    /** Whether the last event has an id, and no first answer's ids went back. */
     private isKnown = true;
     private isIncreasing = true;
     private byOne = true;
@@ -90,15 +90,16 @@
      * it has no place in the stream: then neither it nor what follows may be passed on.
      */
     addEvent(id: number | undefined): boolean {
-        this.answerProblem = this.goesOn ? this.findEventProblem(id) : undefined;
+        const goesBack = id !== undefined && this.lastId !== undefined && id <= this.lastId;
+        this.answerProblem = this.goesOn ? this.findEventProblem(id) : goesBack ? StreamProblem.Repeated : undefined;
         if (this.answerProblem !== undefined) {
+            this.isIncreasing &&= this.goesOn;
             return false;
         }
         this.answerEvents++;
         this.hasEvents = true;
         this.isKnown = id !== undefined && !Number.isNaN(id);
         if (id !== undefined && this.isKnown) {
-            this.isIncreasing &&= this.lastId === undefined || id > this.lastId;
             this.byOne &&= this.lastId === undefined || id === this.lastId + 1;
             this.lastId = id;
         }
