Ask at the end of a connection whether the request was written

Callers got 502 for whole answers without framing to long uploads, though the server had read them to the end.

Cause: the head was asked for it. The last write of a request may be reported after the head of its answer has been parsed, so that a sound server's answer counted as early.

--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -34,7 +34,7 @@
     readonly framing: Framing;
     /** Resolves when the response has closed; what a reader has got is whole only with `AnswerEnd.Whole`. */
     readonly end: Promise<AnswerEnd>;
-    private readonly isRequestWritten: boolean;
+    private isRequestWritten = false;
     private wasRead = false;
     private closedInOrder = false;
 
@@ -48,13 +48,16 @@
         private readonly isUpstreamRunning: () => Promise<boolean>,
     ) {
         this.framing = framingOf(request.method, response);
-        this.isRequestWritten = request.writableFinished;
         // A reader that closes the response at its last piece has not got it.
         response.once("end", () => this.wasRead = !response.destroyed);
         if (this.framing === Framing.Close) {
             const { socket } = response;
-            // A reset found together with data is reported as the end too; the connection has no peer any more then.
-            socket.prependOnceListener("end", () => this.closedInOrder = socket.remoteAddress !== undefined);
+            socket.prependOnceListener("end", () => {
+                // A reset found together with data is reported as the end too; the connection has no peer any more then.
+                this.closedInOrder = socket.remoteAddress !== undefined;
+                // Not at the head: the last write may be reported after it.
+                this.isRequestWritten = request.writableFinished;
+            });
         }
         this.end = new Promise((resolve) => response.once("close", () => resolve(this.findEnd())));
     }
