--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -37,7 +37,7 @@
     readonly framing: Framing;
     /** Resolves when the response has closed; what a reader has got is whole only with `AnswerEnd.Whole`. */
     readonly end: Promise<AnswerEnd>;
-    private readonly isRequestWritten: boolean;
+    private isRequestWritten = false;
     private wasRead = false;
     private closedInOrder = false;
     private secondHeads: secondheads.SecondHeadScanner | undefined;
@@ -54,7 +54,6 @@
         id: string | undefined,
     ) {
         this.framing = framingOf(request.method, response);
-        this.isRequestWritten = request.writableFinished;
         // A reader that closes the response at its last piece has not got it.
         response.once("end", () => this.wasRead = !response.destroyed);
         const idHeader = id === undefined ? undefined : secondheads.idHeaderOf(response, id);
@@ -63,8 +62,12 @@
         }
         if (this.framing === Framing.Close) {
             const { socket } = response;
-            // A reset found together with data is reported as the end too; the connection has no peer any more then.
-            socket.prependOnceListener("end", () => this.closedInOrder = socket.remoteAddress !== undefined);
+            socket.prependOnceListener("end", () => {
+                // A reset found together with data is reported as the end too; the connection has no peer any more then.
+                this.closedInOrder = socket.remoteAddress !== undefined;
+                // Not at the head: the last write may be reported after it.
+                this.isRequestWritten = request.writableFinished;
+            });
         }
         this.end = new Promise((resolve) => response.once("close", () => resolve(this.findEnd())));
     }
