Reset connections that are closed within an answer

Cause: connections are closed for a bound, and at the end of a stop, with an end in order; only an answer that its own exchange aborts was reset where there are no chunks.

--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -170,6 +170,11 @@
         }
     }
 
+    /** Closes all connections at once; an answer that has not left whole does not look complete by it. */
+    cutOffAll(): void {
+        [...this.connections.values()].forEach(cutOff);
+    }
+
     private add(socket: net.Socket): void {
         if (this.connections.size >= this.limits.maxConnections && !this.closeOne()) {
             this.listener.onClosed(dispatch.CloseReason.TooMany, 0);
@@ -230,7 +235,7 @@
             connection.ending = true;
             connection.holder.close();
             this.connections.delete(connection.socket);
-            connection.socket.destroy();
+            cutOff(connection);
         }
     }
 
@@ -338,3 +343,13 @@
         }
     }
 }
+
+/** Closes a connection. To callers without chunks, such as those of HTTP/1.0, an end in order would end a part of an answer. */
+function cutOff({ current, socket }: Connection): void {
+    if (current !== undefined || socket.writableLength > 0) {
+        socket.resetAndDestroy();
+    }
+    else {
+        socket.destroy();
+    }
+}
--- a/packages/gateway/src/server.ts
+++ b/packages/gateway/src/server.ts
@@ -113,7 +113,7 @@
     });
     context.scope.defer(() => {
         server.close();
-        server.closeAllConnections();
+        callers.cutOffAll();
     });
     return {
         openRequests: () => callers.openRequests.map(idOf),
