Pass short answers without framing on with a length

Cause: an answer without framing was passed on without framing, since its end was not sure; so an end of this host looked like the end of the answer. Now that the end is known before a short answer is passed on, it goes out with the length of what was read. To another host too, in place of chunks.

--- a/packages/gateway/src/bodyrelay.ts
+++ b/packages/gateway/src/bodyrelay.ts
@@ -55,11 +55,9 @@
     const status = source.statusCode ?? 502;
     const length = source.headers["content-length"];
     let failure: BodyEnd | undefined;
-    // In chunks where there is no length: a body that is aborted must not look complete.
     exchange.beginResponse(
         status,
         headers.responseHeaders(source.rawHeaders, length === undefined ? undefined : Number(length)),
-        true,
     );
     if (exchange.isOver) {
         source.destroy();
--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -87,7 +87,7 @@
             if (!response.headersSent) {
                 const relayedHeaders = headers.responseHeaders(source.rawHeaders, undefined);
                 // In chunks, whatever the upstream does: a stream that is aborted must not look complete.
-                exchange.beginResponse(source.statusCode ?? 200, relayedHeaders, true);
+                exchange.beginResponse(source.statusCode ?? 200, relayedHeaders);
             }
             if (!response.write(bytes)) {
                 flow.waitForCaller(response);
--- a/packages/gateway/src/plain.ts
+++ b/packages/gateway/src/plain.ts
@@ -194,11 +194,7 @@
         return undefined;
     }
     exchange.context.quarantine.recordServed(exchange);
-    exchange.beginResponse(
-        status,
-        headers.responseHeaders(response.rawHeaders, framed ? body.length : undefined),
-        framed,
-    );
+    exchange.beginResponse(status, headers.responseHeaders(response.rawHeaders, body.length));
     exchange.endResponse(success ? exchanges.FinalReason.Served : exchanges.FinalReason.UpstreamFailure, body);
     return undefined;
 }
--- a/packages/gateway/test/answerends.test.ts
+++ b/packages/gateway/test/answerends.test.ts
@@ -102,4 +102,9 @@
             chai.expect(await fixture.send(), head).to.include({ status: 200, body: "whole", complete: true });
         }
     });
+
+    it("do not look complete to their callers if this host ends within them: short ones have a length", async () => {
+        answerRaw((socket) => socket.end(`${HEAD}whole`));
+        chai.expect((await fixture.send()).headers).to.include({ "content-length": "5" });
+    });
 });
