Read a configuration that other hosts tell of once at a time

Cause: each update that tells of a newer version began a read of the whole configuration, also while one was in flight. Both readers of a group tell it, with each listing, so a slow link carried several copies at once, and each took longer.

Why it works: one such read is in flight at a time. A version that is told meanwhile and was not reached is read right after it, so none is left to the next update.

--- a/packages/gateway/src/store/view.ts
+++ b/packages/gateway/src/store/view.ts
@@ -289,14 +289,30 @@
             adopt(changed, "other host");
         }
     };
+    let isReadingTold = false;
+    let toldMeanwhile = 0;
+    /** Reads a version that another host has told, and once more if a newer one is told meanwhile. */
+    const readToldConfiguration = async () => {
+        isReadingTold = true;
+        try {
+            do {
+                toldMeanwhile = 0;
+                adoptRead(await registry.readConfiguration());
+            }
+            while (toldMeanwhile > version() && !scope.closed);
+        }
+        finally {
+            isReadingTold = false;
+        }
+    };
     const receiveConfigurationVersion = (receivedVersion: number | undefined, tellsEvacuations: boolean) => {
         if (receivedVersion !== undefined && receivedVersion > version()) {
-            // A reader does this too, in addition to its watch, because the connection of the watch may be dead.
-            background.runInBackground(
-                log,
-                "read configuration",
-                async () => adoptRead(await registry.readConfiguration()),
-            );
+            toldMeanwhile = Math.max(toldMeanwhile, receivedVersion);
+            // Reads beside each other would share the link, so that each of them takes longer.
+            if (!isReadingTold) {
+                // A reader does this too, in addition to its watch, because the connection of the watch may be dead.
+                background.runInBackground(log, "read configuration", readToldConfiguration);
+            }
         }
         // What confirms the configuration spares a read that would tell the emptied zones too.
         else if (receivedVersion === version() && tellsEvacuations && !group.isReader) {
--- a/packages/gateway/test/store.test.ts
+++ b/packages/gateway/test/store.test.ts
@@ -33,18 +33,28 @@
     version = 1;
     upstreams: routing.Upstream[] = [];
     storeDown = false;
+    /** How long a read of the configuration takes, and the most that were in flight at once. */
+    configurationReadMs = 0;
+    mostConfigurationReads = 0;
     era = 1;
     evacuations: routing.EvacuationListing | undefined;
     registrations = 0;
     listedHosts: readonly string[] = HOSTS;
 
     constructor(address: string, periodMs: number) {
+        let readsInFlight = 0;
         const readConfiguration = async (): Promise<decision.Outcome<routing.RoutingConfiguration>> => {
             this.configurationReads++;
             if (this.storeDown) {
                 return decision.noEffect("status 503");
             }
-            return decision.knownEffect(fixtures.makeConfiguration({ version: this.version }));
+            const { version } = this;
+            this.mostConfigurationReads = Math.max(this.mostConfigurationReads, ++readsInFlight);
+            if (this.configurationReadMs > 0) {
+                await lifecycle.pause(this.scope, this.configurationReadMs);
+            }
+            readsInFlight--;
+            return decision.knownEffect(fixtures.makeConfiguration({ version }));
         };
         const clock = lifecycle.monotonicClock;
         const log = logs.makeDecisionLog({}, clock, () => undefined);
@@ -170,6 +180,22 @@
         chai.expect(follower.view.activeConfiguration()?.table.configuration.version).to.equal(2);
     });
 
+    it("reads a configuration once at a time, however many updates tell of it, and then what they told meanwhile", async () => {
+        const follower = await start(false, 10_000);
+        const before = follower.configurationReads;
+        follower.configurationReadMs = 200;
+        follower.mostConfigurationReads = 0;
+        for (const version of [2, 2, 3, 3]) {
+            follower.version = version;
+            follower.view.receiveUpdate(follower.makeUpdate());
+            await lifecycle.pause(follower.scope, 20);
+        }
+        await lifecycle.pause(follower.scope, 1_000);
+        chai.expect(follower.mostConfigurationReads).to.equal(1);
+        chai.expect(follower.configurationReads - before).to.equal(2);
+        chai.expect(follower.view.activeConfiguration()?.table.configuration.version).to.equal(3);
+    });
+
     it("takes over what an update says has changed, without a read, also while the store turns it away", async () => {
         const follower = await start(false, 2_000);
         const former = follower.upstreams;
