Large answers of the store may take longer to arrive than it may be silent

Cause: a call to the store failed unless its whole answer was there after 600 ms, and the next one began from the start. A configuration of 2,505 routes has 707,916 bytes on the wire, 809 ms of a link of 7 Mbit/s without any other traffic.

Calls with small answers, such as listings of upstreams and leases, keep the one timeout.

--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -2,14 +2,23 @@
 import * as decision from "@citronlead/decision";
 import * as http from "node:http";
 
+/** Limits on a response body once its first bytes have arrived. */
+export interface TransferLimits {
+    /** Longest time between two pieces. */
+    readonly silenceMs: decision.Milliseconds;
+    /** Time from the first piece to the end. */
+    readonly totalMs: decision.Milliseconds;
+}
+
 /** A JSON call over HTTP. */
 export interface JsonCall {
     readonly url: string;
     /** Defaults to POST if there is a body, else to GET. */
     readonly method?: string;
     readonly body?: unknown;
-    /** The call is aborted if the response is not complete after this time. */
+    /** The call is aborted if the response is not complete after this time, or has not begun where `transfer` is set. */
     readonly timeoutMs: decision.Milliseconds;
+    readonly transfer?: TransferLimits | undefined;
     readonly agent?: http.Agent;
     readonly signal?: AbortSignal;
     readonly headers?: http.OutgoingHttpHeaders;
@@ -70,8 +79,19 @@
             resolve(decision.noEffect("invalid URL or header"));
             return;
         }
-        const timer = setTimeout(() => request.destroy(new Error("timeout")), call.timeoutMs);
-        request.on("close", () => clearTimeout(timer));
+        const { transfer } = call;
+        const abort = () => request.destroy(new Error("timeout"));
+        let timer = setTimeout(abort, call.timeoutMs);
+        let endTimer: NodeJS.Timeout | undefined;
+        const restartTimer = ({ silenceMs, totalMs }: TransferLimits) => {
+            clearTimeout(timer);
+            timer = setTimeout(abort, silenceMs);
+            endTimer ??= setTimeout(abort, totalMs);
+        };
+        request.on("close", () => {
+            clearTimeout(timer);
+            clearTimeout(endTimer);
+        });
         request.on("error", fail);
         let interimCount = 0;
         request.on("information", () => {
@@ -79,7 +99,12 @@
                 request.destroy(new Error("interim responses without end"));
             }
         });
-        request.on("response", (response) => readJson(response, resolve, fail));
+        request.on("response", (response) => {
+            if (transfer) {
+                response.on("data", () => restartTimer(transfer));
+            }
+            readJson(response, resolve, fail);
+        });
         request.end(payload);
     });
 }
