Define what counts as the head of an answer in one module

HeadChecker follows the bytes of a connection and knows the heads of RFC 9112, interim ones too. It takes in the check of line ends, whose test moves with it and asks the same; on its own it changes nothing that callers see.

--- a/packages/gateway/test/lineends.test.ts
+++ b/packages/bodies/test/lineends.test.ts
@@ -1,5 +1,5 @@
 import * as chai from "chai";
-import * as lines from "../src/upstream/lineends.js";
+import * as bodies from "../src/index.js";
 
 const HEAD = "HTTP/1.1 200 OK\r\na: b\r\n\r\n";
 const INTERIM = "HTTP/1.1 102 Processing\r\n\r\n";
@@ -7,9 +7,9 @@
 /** Whether a connection's bytes are malformed, the same whole and in single bytes. */
 function isMalformed(text: string): boolean {
     const results = [[text], [...text]].map((pieces) => {
-        const checker = new lines.LineEndChecker();
+        const checker = new bodies.HeadChecker();
         pieces.forEach((piece) => checker.push(Buffer.from(piece, "latin1")));
-        return checker.isMalformed;
+        return checker.problem !== undefined;
     });
     chai.expect(results[0]).to.equal(results[1]);
     return results[0] as boolean;
