Heads that RFC 9112 does not have are lost answers

Callers got answers whose status line was HTTP/2.0, HTTP/0.9, RTSP/1.0 or ICE/1.0, or held control bytes in the reason phrase, also of an interim response; prefills, reservations, probes and relayed answers were taken alike. What Node's parser accepts was taken for a head, and our check saw only what the parser hands on. All calls of startCall now ask HeadChecker, which sees the bytes before the parser does and does not hang on its release. A 101 counts as malformed and no more as a crash. The result of a send names the problem, and citronlead_gateway_malformed_heads_total counts it for control calls, probes and relays too.

--- a/packages/gateway/src/evidence.ts
+++ b/packages/gateway/src/evidence.ts
@@ -80,14 +80,17 @@
     };
 }
 
-/** Counts how the answer to a call ends, and adds it to the record of the call. */
+/** Counts how the answer to a call ends, which is added to the record of the call, or why its head was refused. */
 export function followAnswer(
-    { answerEnds }: Pick<metrics.GatewayMetrics, "answerEnds">,
+    { answerEnds, malformedHeads }: Pick<metrics.GatewayMetrics, "answerEnds" | "malformedHeads">,
     call: string,
     outcome: calls.CallOutcome,
     record?: callrecords.CallRecord,
 ): void {
     if (outcome.progress !== calls.CallProgress.Responded) {
+        if (outcome.headProblem !== undefined) {
+            malformedHeads.inc({ call, problem: outcome.headProblem });
+        }
         return;
     }
     const { framing } = outcome.answer;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -21,6 +21,7 @@
     readonly droppedRequests: promClient.Counter;
     readonly droppedLogLines: promClient.Counter;
     readonly answerEnds: promClient.Counter<"call" | "framing" | "end">;
+    readonly malformedHeads: promClient.Counter<"call" | "problem">;
     readonly foreignAnswers: promClient.Counter<"call">;
     readonly notRunAnswers: promClient.Counter<"service" | "status" | "basis">;
     readonly resends: promClient.Counter<"call" | "kind" | "basis">;
@@ -178,6 +179,10 @@
             "framing",
             "end",
         ]),
+        malformedHeads: counter("citronlead_gateway_malformed_heads_total", "Answers refused for their head.", [
+            "call",
+            "problem",
+        ]),
         foreignAnswers: counter("citronlead_gateway_foreign_answers_total", "Answers that belonged to another call.", [
             "call",
         ]),
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -2,10 +2,8 @@
 import type * as decision from "@citronlead/decision";
 import type * as dispatch from "@citronlead/dispatch";
 import * as http from "node:http";
-import * as heads from "../head.js";
 import * as agents from "./agent.js";
 import * as answers from "./answer.js";
-import * as lines from "./lineends.js";
 import * as traces from "./trace.js";
 
 /** A request to an upstream. */
@@ -76,6 +74,8 @@
         readonly trace?: traces.CallTrace;
         /** The response that answers another call, if that is why it is not used. */
         readonly foreign?: ForeignResponse | undefined;
+        /** What is wrong with the head of the response, if that is why it is not used. */
+        readonly headProblem?: bodies.HeadProblem | undefined;
     };
 
 /** Head of a response that answers another call. */
@@ -124,6 +124,7 @@
         let failure = CallFailure.Broken;
         let reason: string | undefined;
         let interimCount = 0;
+        let headProblem: bodies.HeadProblem | undefined;
         const stop = (cause: CallFailure, detail: string) => {
             if (reason === undefined) {
                 failure = cause;
@@ -131,17 +132,18 @@
             }
             request.destroy();
         };
+        const refuseHead = (problem: bodies.HeadProblem) => {
+            headProblem = problem;
+            stop(CallFailure.Malformed, `malformed head: ${problem}`);
+        };
         const timer = setTimeout(() => stop(CallFailure.TimedOut, "timeout"), Math.max(1, call.headersTimeoutMs));
         const onAbort = () => stop(CallFailure.Aborted, "aborted");
         call.signal?.addEventListener("abort", onAbort);
-        const lineEnds = new lines.LineEndChecker();
-        const checkLineEnds = (bytes: Buffer) => lineEnds.push(bytes);
+        const heads = bodies.checkHeads(request);
         request.on("socket", (socket) => {
             if (id !== undefined) {
                 agent.recordRequest(socket, id);
             }
-            // Before the parser's own listener, so that the head is checked by the time of its response.
-            socket.prependListener("data", checkLineEnds);
             if (socket.connecting) {
                 socket.once("connect", () => connected = true);
             }
@@ -151,12 +153,17 @@
         });
         request.on("error", (error: NodeJS.ErrnoException) => {
             if (reason === undefined && error.code?.startsWith(PARSER_ERROR_PREFIX)) {
+                headProblem = heads.problem ?? bodies.HeadProblem.Parser;
                 failure = CallFailure.Malformed;
             }
             reason ??= error.message;
         });
         request.on("close", () => {
             clearTimeout(timer);
+            // A switch of protocols has neither a response nor an error.
+            if (reason === undefined && heads.problem !== undefined) {
+                refuseHead(heads.problem);
+            }
             call.signal?.removeEventListener("abort", onAbort);
             resolve({
                 progress: connected ? CallProgress.NoResponse : CallProgress.NotSent,
@@ -164,24 +171,26 @@
                 reason: reason ?? "closed",
                 trace: trace(),
                 foreign,
+                headProblem,
             });
         });
         request.on("information", () => {
-            if (++interimCount > MAX_INTERIM_RESPONSES) {
+            if (heads.problem !== undefined) {
+                refuseHead(heads.problem);
+            }
+            else if (++interimCount > MAX_INTERIM_RESPONSES) {
                 stop(CallFailure.Malformed, "interim responses without end");
             }
         });
         request.on("response", (response) => {
-            response.socket.off("data", checkLineEnds);
-            const problem = lineEnds.isMalformed
-                ? "malformed line end"
-                : heads.findMalformedHead(response);
-            const mismatch = problem === undefined ? call.findMismatch?.(response.headers) : undefined;
+            if (heads.finalProblem !== undefined) {
+                refuseHead(heads.finalProblem);
+                return;
+            }
+            const mismatch = call.findMismatch?.(response.headers);
             if (mismatch !== undefined) {
                 foreign = { status: response.statusCode ?? 0, headers: response.headers };
-            }
-            if (problem !== undefined || mismatch !== undefined) {
-                stop(CallFailure.Malformed, problem ?? mismatch ?? "");
+                stop(CallFailure.Malformed, mismatch);
                 return;
             }
             clearTimeout(timer);
