--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -93,13 +93,23 @@
             clearTimeout(endTimer);
         });
         request.on("error", fail);
+        const heads = bodies.checkHeads(request);
+        const refuseHead = (problem: bodies.HeadProblem) => request.destroy(new Error(`malformed head: ${problem}`));
         let interimCount = 0;
         request.on("information", () => {
-            if (++interimCount > MAX_INTERIM_RESPONSES) {
+            if (heads.problem !== undefined) {
+                refuseHead(heads.problem);
+            }
+            else if (++interimCount > MAX_INTERIM_RESPONSES) {
                 request.destroy(new Error("interim responses without end"));
             }
         });
         request.on("response", (response) => {
+            if (heads.finalProblem !== undefined) {
+                refuseHead(heads.finalProblem);
+                response.on("error", fail);
+                return;
+            }
             if (transfer) {
                 response.on("data", () => restartTimer(transfer));
             }
