An answer without framing is whole only if its upstream is proved not to have stopped

Callers got a part of an answer as a whole 200 if its server stopped within it and was up again under its id when the host asked. The probe's response was taken as proof that the same process ran; it proves only that some process listens.

A process that ends closes all of its connections. So the proof is now a connection that was established before the end of the answer was seen and that answers the probe, or is still open after it. One connection to each incarnation that answers without framing is kept for probes, so that the next such answer has one; it is the one that the first probe opened. A new connection counts only if it was accepted within 100 ms of when the answer's connection was last known to be open: two polls of the event loop back, or since its reader held it. Otherwise the answer is not whole: 502, or another send.

The test is stricter than it was when it landed: its server closed its connections after the standstill, not before.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./answerends.js";
 /**
  * Decisions on routed requests: placement on upstreams, queueing, refusal and Retry-After times, retries, workspace
  * quotas, and blocking of requests that crash upstreams. Performs no I/O; the current time is passed in.
--- a/packages/gateway/src/callrecord.ts
+++ b/packages/gateway/src/callrecord.ts
@@ -1,3 +1,4 @@
+import type * as dispatch from "@citronlead/dispatch";
 import type * as answers from "./upstream/answer.js";
 
 /** On what the outcome of a call rests, as it is logged; see evidence.ts. */
@@ -25,4 +26,6 @@
     /** How its answer was framed and how it ended, unless it is whole by its framing. Undefined until its end. */
     framing?: answers.Framing;
     end?: answers.AnswerEnd;
+    /** What its end rests on, if it is whole without framing. */
+    endProof?: dispatch.EndProof;
 }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -33,6 +33,7 @@
     readonly metrics: metrics.GatewayMetrics;
     readonly wireFormat: wires.WireFormat;
     readonly agent: agents.UpstreamAgent;
+    readonly polls: dispatch.PollTimes;
     readonly pool: pools.UpstreamPool;
     readonly notices: notices.UpstreamNotices;
     readonly storeView: views.StoreView;
--- a/packages/gateway/src/control.ts
+++ b/packages/gateway/src/control.ts
@@ -1,6 +1,7 @@
 import * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
 import * as routing from "@citronlead/routing";
+import type * as net from "node:net";
 import type * as contexts from "./context.js";
 import * as evidences from "./evidence.js";
 import * as json from "./json.js";
@@ -25,6 +26,10 @@
     readonly name: string;
     readonly purpose: ControlPurpose;
     readonly timeoutMs: decision.Milliseconds;
+    /** Pool of its connection; that of the incarnation if undefined. */
+    readonly pool?: string;
+    /** Called with the connection of the call. */
+    readonly onConnection?: (socket: net.Socket) => void;
 }
 
 /** Starts a control call to an upstream, such as a reservation; its response belongs to no request. */
@@ -32,7 +37,7 @@
     context: contexts.GatewayContext,
     upstream: routing.Upstream,
     call: wires.EngineCall,
-    { name, purpose, timeoutMs }: ControlOptions,
+    { name, purpose, timeoutMs, pool, onConnection }: ControlOptions,
 ): Promise<calls.CallOutcome> {
     const startedAt = context.clock();
     const exclusion = context.pool.exclusionOf(upstream, startedAt);
@@ -46,7 +51,7 @@
     const body = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
     const outcome = await calls.startCall(context.agent, {
         address: upstream.address,
-        incarnation: routing.incarnationOf(upstream),
+        incarnation: pool ?? routing.incarnationOf(upstream),
         findMismatch: (headers) => {
             const { requestId } = context.wireFormat.parseResponse(headers);
             return requestId === undefined ? undefined : `response to request ${requestId}`;
@@ -62,6 +67,7 @@
         body,
         headersTimeoutMs: timeoutMs,
         run: undefined,
+        onConnection,
         signal: undefined,
     });
     context.reachability.record(upstream, outcome);
--- a/packages/gateway/src/evidence.ts
+++ b/packages/gateway/src/evidence.ts
@@ -82,7 +82,7 @@
 
 /** Counts how the answer to a call ends, and adds it to the record of the call. */
 export function followAnswer(
-    { answerEnds }: Pick<metrics.GatewayMetrics, "answerEnds">,
+    { answerEnds, endProofs }: Pick<metrics.GatewayMetrics, "answerEnds" | "endProofs">,
     call: string,
     outcome: calls.CallOutcome,
     record?: callrecords.CallRecord,
@@ -90,12 +90,20 @@
     if (outcome.progress !== calls.CallProgress.Responded) {
         return;
     }
-    const { framing } = outcome.answer;
-    void outcome.answer.end.then((end) => {
+    const { answer } = outcome;
+    const { framing } = answer;
+    void answer.end.then((end) => {
         answerEnds.inc({ call, framing, end });
+        const proof = answer.endProof;
+        if (proof !== undefined) {
+            endProofs.inc({ proof });
+        }
         if (record && (framing === answers.Framing.Close || end !== answers.AnswerEnd.Whole)) {
             record.framing = framing;
             record.end = end;
+            if (proof !== undefined) {
+                record.endProof = proof;
+            }
         }
     });
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,6 +102,8 @@
     const log = logs.makeDecisionLog(identity, clock, () => gatewayMetrics.droppedLogLines.inc());
     const agent = new agents.UpstreamAgent(() => gatewayMetrics.connections.inc());
     scope.defer(() => agent.destroy());
+    const polls = new dispatch.PollTimes(clock());
+    liveness.recordPolls(scope, clock, polls);
     // An idle connection to another host may have gone silent, and opening one costs a round trip.
     const hostAgent = new agents.UpstreamAgent(() => undefined, false);
     scope.defer(() => hostAgent.destroy());
@@ -225,6 +227,7 @@
         metrics: gatewayMetrics,
         wireFormat,
         agent,
+        polls,
         pool,
         notices: new notices.UpstreamNotices({ clock, limits: upstreamLimits, log, pool, random }),
         storeView,
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -1,6 +1,12 @@
-import type * as routing from "@citronlead/routing";
+import type * as decision from "@citronlead/decision";
+import * as dispatch from "@citronlead/dispatch";
+import type * as lifecycle from "@citronlead/lifecycle";
+import * as routing from "@citronlead/routing";
+import type * as net from "node:net";
+import * as timers from "node:timers/promises";
 import type * as contexts from "./context.js";
 import * as controls from "./control.js";
+import type * as answers from "./upstream/answer.js";
 import * as calls from "./upstream/call.js";
 import * as notices from "./upstream/notices.js";
 
@@ -9,6 +15,9 @@
 /** Attempts before an upstream counts as gone: the first may use a connection that was closed while idle. */
 const ATTEMPTS = 2;
 
+/** Time between two records of the polls of the event loop. */
+const POLL_RECORD_PERIOD_MS = 15;
+
 /** How a running upstream of a service is recognised. */
 interface Probe {
     readonly path: string;
@@ -24,27 +33,88 @@
     const known = probeOf(context, upstream);
     let running: boolean | undefined;
     for (let attempt = 0; known && running === undefined && attempt < ATTEMPTS; attempt++) {
-        running = await sendProbe(context, upstream, known);
+        const result = await sendProbe(context, upstream, known);
+        running = result === dispatch.ProbeResult.Gone
+            ? undefined
+            : result === dispatch.ProbeResult.Responded
+                || (result === dispatch.ProbeResult.Silent && known.silentIsRunning);
     }
     return running;
 }
 
-/**
- * Whether the upstream that ended a response with its connection still runs. One that crashed has closed its connections
- * too, and what it sent last may be a part of the response only.
- */
-export async function isStillRunning(
+/** Records the polls of the event loop. */
+export function recordPolls(scope: lifecycle.Scope, clock: decision.Clock, polls: dispatch.PollTimes): void {
+    let timer: NodeJS.Timeout | undefined;
+    scope.defer(() => clearTimeout(timer));
+    const schedule = () => {
+        if (!scope.closed) {
+            timer = setTimeout(recordPoll, POLL_RECORD_PERIOD_MS);
+        }
+    };
+    const recordPoll = () => {
+        const startedAt = clock();
+        // Late timers run several times before the loop polls; immediates run after it has.
+        setImmediate(() => {
+            polls.record(startedAt);
+            schedule();
+        });
+    };
+    schedule();
+}
+
+/** Watches the end of a response. */
+export function watchEnd(context: contexts.GatewayContext, upstream: routing.Upstream): answers.EndWatch {
+    const { clock, polls } = context;
+    const sight = new dispatch.EndSight(polls);
+    let openAt = -Infinity;
+    return {
+        follow: (response) => {
+            response.socket.prependOnceListener("end", () => openAt = sight.openAt);
+            response.on("pause", () => sight.hold(clock()));
+            response.on("resume", () => sight.resume(clock()));
+        },
+        findProof: () => findProof(context, upstream, openAt),
+    };
+}
+
+/** Probes the upstream that closed the connection of a response, which was known to be open at `openAt`. */
+async function findProof(
     context: contexts.GatewayContext,
     upstream: routing.Upstream,
-): Promise<boolean> {
-    if (!probeOf(context, upstream)) {
-        return true;
+    openAt: decision.Milliseconds,
+): Promise<dispatch.EndProof | undefined> {
+    const { agent } = context;
+    const known = probeOf(context, upstream);
+    if (!known) {
+        return dispatch.EndProof.Unasked;
+    }
+    const incarnation = routing.incarnationOf(upstream);
+    let connection: net.Socket | undefined;
+    const onConnection = (socket: net.Socket) => connection = socket;
+    let result = dispatch.ProbeResult.Gone;
+    for (let attempt = 0; result === dispatch.ProbeResult.Gone && attempt < ATTEMPTS; attempt++) {
+        const pool = agent.probePoolOf(incarnation);
+        result = await sendProbe(context, upstream, known, { pool, onConnection });
     }
-    const running = await probe(context, upstream);
-    if (!running) {
-        context.log.decision("upstream gone after a response without framing", { upstream: upstream.id });
+    // The closing of other connections may have been found together with the response.
+    await timers.setImmediate();
+    const connectedAt = connection && agent.connectedAt(connection);
+    const proof = dispatch.proofOfEnd({
+        probe: result,
+        silentIsRunning: known.silentIsRunning,
+        isOlderOpen: agent.hasIdleSince(incarnation, openAt),
+        openAt,
+        connectedAt,
+    });
+    if (proof === undefined) {
+        const unseenMs = connectedAt === undefined ? undefined : Math.round(connectedAt - openAt);
+        context.log.decision("end of a response without framing not proved", {
+            upstream: upstream.id,
+            probe: result,
+            unseenMs,
+        });
     }
-    return running ?? false;
+    return proof;
 }
 
 /** Undefined if the service has no way to tell. */
@@ -56,23 +126,26 @@
     return known?.healthPath === undefined ? undefined : { path: known.healthPath, silentIsRunning: true };
 }
 
-/** Whether this incarnation runs; undefined if its connection was refused or closed. */
 async function sendProbe(
     context: contexts.GatewayContext,
     upstream: routing.Upstream,
-    { path, silentIsRunning }: Probe,
-): Promise<boolean | undefined> {
+    { path }: Probe,
+    connection: Pick<controls.ControlOptions, "pool" | "onConnection"> = {},
+): Promise<dispatch.ProbeResult> {
     const call = { method: "GET", path, body: undefined };
     const outcome = await controls.startControlCall(context, upstream, call, {
         name: "probe",
         purpose: controls.ControlPurpose.Aftercare,
         timeoutMs: RESPONSE_TIMEOUT_MS,
+        ...connection,
     });
     if (outcome.progress !== calls.CallProgress.Responded) {
         const isSilent = outcome.progress === calls.CallProgress.NoResponse
             && outcome.failure === calls.CallFailure.TimedOut;
-        return isSilent ? silentIsRunning : undefined;
+        return isSilent ? dispatch.ProbeResult.Silent : dispatch.ProbeResult.Gone;
     }
     await calls.readBody(outcome.answer, RESPONSE_TIMEOUT_MS, calls.MAX_CONTROL_BODY_BYTES);
-    return outcome.response.statusCode !== notices.WRONG_UPSTREAM_STATUS;
+    return outcome.response.statusCode === notices.WRONG_UPSTREAM_STATUS
+        ? dispatch.ProbeResult.Denied
+        : dispatch.ProbeResult.Responded;
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -21,6 +21,7 @@
     readonly droppedRequests: promClient.Counter;
     readonly droppedLogLines: promClient.Counter;
     readonly answerEnds: promClient.Counter<"call" | "framing" | "end">;
+    readonly endProofs: promClient.Counter<"proof">;
     readonly foreignAnswers: promClient.Counter<"call">;
     readonly notRunAnswers: promClient.Counter<"service" | "status" | "basis">;
     readonly resends: promClient.Counter<"call" | "kind" | "basis">;
@@ -178,6 +179,9 @@
             "framing",
             "end",
         ]),
+        endProofs: counter("citronlead_gateway_end_proofs_total", "What ends of answers without framing rest on.", [
+            "proof",
+        ]),
         foreignAnswers: counter("citronlead_gateway_foreign_answers_total", "Answers that belonged to another call.", [
             "call",
         ]),
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -132,7 +132,7 @@
         body: exchange.body,
         headersTimeoutMs: Math.min(options.headersTimeoutMs, exchange.remainingMs),
         run,
-        isUpstreamRunning: () => liveness.isStillRunning(context, upstream),
+        endWatch: liveness.watchEnd(context, upstream),
         signal: exchange.signal,
     });
     const proof = findProof(exchange, outcome);
--- a/packages/gateway/src/upstream/agent.ts
+++ b/packages/gateway/src/upstream/agent.ts
@@ -1,4 +1,5 @@
 import type * as decision from "@citronlead/decision";
+import * as lifecycle from "@citronlead/lifecycle";
 import * as http from "node:http";
 import * as net from "node:net";
 import type * as stream from "node:stream";
@@ -23,6 +24,8 @@
     maxIdleMs: decision.Milliseconds;
     /** Ids of the latest requests on the connection, oldest first. */
     readonly carriedIds: string[];
+    /** When it was established; undefined until it is. */
+    connectedAt: decision.Milliseconds | undefined;
 }
 
 /** Connections are pooled by incarnation, so that those of a previous incarnation are never used for a new one. */
@@ -46,7 +49,10 @@
         this.onConnection();
         const socket = net.connect({ host: options.host ?? "", port: Number(options.port), noDelay: true });
         const timer = setTimeout(() => socket.destroy(new Error(CONNECT_TIMEOUT_REASON)), CONNECT_TIMEOUT_MS);
-        socket.once("connect", () => clearTimeout(timer));
+        socket.once("connect", () => {
+            clearTimeout(timer);
+            this.stateOf(socket).connectedAt = lifecycle.monotonicClock();
+        });
         socket.once("close", () => clearTimeout(timer));
         // A request that is aborted as its response ends has removed its listener by the time the error is emitted.
         socket.on("error", () => undefined);
@@ -99,16 +105,43 @@
 
     /** Closes the idle connections of an incarnation. */
     closeIdle(incarnation: string): void {
-        this.freeSockets[incarnation]?.forEach((socket) => socket.destroy());
+        this.idleTo(incarnation).forEach((socket) => socket.destroy());
+    }
+
+    /** When a connection was established; undefined if it has not been. */
+    connectedAt(socket: stream.Duplex): decision.Milliseconds | undefined {
+        return this.stateOf(socket).connectedAt;
+    }
+
+    /** Whether an idle connection to an incarnation is open that was established before a time. */
+    hasIdleSince(incarnation: string, time: decision.Milliseconds): boolean {
+        return this.idleTo(incarnation).some((socket) =>
+            (this.connectedAt(socket) ?? Infinity) < time && !socket.destroyed && !socket.readableEnded
+        );
+    }
+
+    /** Name of the pool for a probe: one connection is kept for probes, so that it is older than the next answer. */
+    probePoolOf(incarnation: string): string {
+        const pool = probePool(incarnation);
+        return (this.sockets[pool]?.length ?? 0) > 0 ? incarnation : pool;
+    }
+
+    private idleTo(incarnation: string): readonly net.Socket[] {
+        return [...this.freeSockets[incarnation] ?? [], ...this.freeSockets[probePool(incarnation)] ?? []];
     }
 
     private stateOf(socket: stream.Duplex): ConnectionState {
-        const state = this.connections.get(socket) ?? { maxIdleMs: MAX_IDLE_MS, carriedIds: [] };
+        const state = this.connections.get(socket)
+            ?? { maxIdleMs: MAX_IDLE_MS, carriedIds: [], connectedAt: undefined };
         this.connections.set(socket, state);
         return state;
     }
 }
 
+function probePool(incarnation: string): string {
+    return `${incarnation} probe`;
+}
+
 function destroyIdle(this: stream.Duplex): void {
     this.destroy();
 }
--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -1,3 +1,4 @@
+import type * as dispatch from "@citronlead/dispatch";
 import type * as http from "node:http";
 import * as secondheads from "./secondhead.js";
 
@@ -29,6 +30,14 @@
     Stopped = "stopped",
 }
 
+/** Tells whether the upstream that closed the connection of a response without framing had stopped. */
+export interface EndWatch {
+    /** Follows the response while it is read. */
+    readonly follow: (response: http.IncomingMessage) => void;
+    /** What shows that the upstream has not stopped; undefined if nothing does. */
+    readonly findProof: () => Promise<dispatch.EndProof | undefined>;
+}
+
 /** Statuses of responses that have no body. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number | undefined> = new Set([204, 304]);
 
@@ -37,6 +46,8 @@
     readonly framing: Framing;
     /** Resolves when the response has closed; what a reader has got is whole only with `AnswerEnd.Whole`. */
     readonly end: Promise<AnswerEnd>;
+    /** What the end of a whole response without framing rests on. */
+    endProof: dispatch.EndProof | undefined;
     private isRequestWritten = false;
     private wasRead = false;
     private closedInOrder = false;
@@ -44,13 +55,13 @@
     private isJoined = false;
 
     /**
-     * Takes a response before anything of its body has been read. `isUpstreamRunning` says whether the upstream that closed
-     * the connection of a response without framing still runs; `id` is that of the call, if its answers repeat it.
+     * Takes a response before anything of its body has been read. Without a watch, upstreams that close the connection of a
+     * response without framing count as running; `id` is that of the call, if its answers repeat it.
      */
     constructor(
         request: http.ClientRequest,
         readonly response: http.IncomingMessage,
-        private readonly isUpstreamRunning: () => Promise<boolean>,
+        private readonly watch: EndWatch | undefined,
         id: string | undefined,
     ) {
         this.framing = framingOf(request.method, response);
@@ -62,6 +73,7 @@
         }
         if (this.framing === Framing.Close) {
             const { socket } = response;
+            watch?.follow(response);
             socket.prependOnceListener("end", () => {
                 // A reset found together with data is reported as the end too; the connection has no peer any more then.
                 this.closedInOrder = socket.remoteAddress !== undefined;
@@ -101,7 +113,8 @@
         if (!this.isRequestWritten) {
             return AnswerEnd.Early;
         }
-        return await this.isUpstreamRunning() ? AnswerEnd.Whole : AnswerEnd.Stopped;
+        this.endProof = await this.watch?.findProof();
+        return this.watch && this.endProof === undefined ? AnswerEnd.Stopped : AnswerEnd.Whole;
     }
 }
 
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -2,6 +2,7 @@
 import type * as decision from "@citronlead/decision";
 import type * as dispatch from "@citronlead/dispatch";
 import * as http from "node:http";
+import type * as net from "node:net";
 import * as heads from "../head.js";
 import * as agents from "./agent.js";
 import * as answers from "./answer.js";
@@ -29,8 +30,10 @@
     readonly ownConnection?: boolean;
     /** Leave to send a request that the call could run; undefined for calls that run none, such as control calls. */
     readonly run: dispatch.RunEntry | undefined;
-    /** Whether the upstream that closed the connection of a response without framing still runs; taken for granted if undefined. */
-    readonly isUpstreamRunning?: (() => Promise<boolean>) | undefined;
+    /** Watches for the end of a response without framing; its upstream counts as running if undefined. */
+    readonly endWatch?: answers.EndWatch | undefined;
+    /** Called with the connection of the call. */
+    readonly onConnection?: ((socket: net.Socket) => void) | undefined;
     /** Cancels the call and closes its connection when aborted. */
     readonly signal: AbortSignal | undefined;
 }
@@ -137,6 +140,7 @@
         const lineEnds = new lines.LineEndChecker();
         const checkLineEnds = (bytes: Buffer) => lineEnds.push(bytes);
         request.on("socket", (socket) => {
+            call.onConnection?.(socket);
             if (id !== undefined) {
                 agent.recordRequest(socket, id);
             }
@@ -191,8 +195,7 @@
                 response.once("end", () => response.socket.destroy());
             }
             response.on("error", () => undefined);
-            const isUpstreamRunning = call.isUpstreamRunning ?? (() => Promise.resolve(true));
-            const answer = new answers.Answer(request, response, isUpstreamRunning, id);
+            const answer = new answers.Answer(request, response, call.endWatch, id);
             resolve({ progress: CallProgress.Responded, response, answer, trace: trace() });
         });
         request.end(call.body);
--- a/packages/gateway/test/restartedupstreams.test.ts
+++ b/packages/gateway/test/restartedupstreams.test.ts
@@ -28,13 +28,15 @@
                 response.end();
                 return;
             }
-            request.socket.end(HEAD + text);
+            // Unlike the end of a stream, this closes the connection before it returns.
+            request.socket.write(HEAD + text);
+            request.socket.destroy();
             after();
         };
     };
     /** The end of a process closes all of its connections; the next one listens at once. */
     const restart = () => {
-        connections.forEach((socket) => socket.end());
+        connections.forEach((socket) => socket.destroy());
         standStill();
     };
 
