--- a/packages/gateway/src/upstream/agent.ts
+++ b/packages/gateway/src/upstream/agent.ts
@@ -37,7 +37,11 @@
 export class UpstreamAgent extends http.Agent {
     private readonly connections = new WeakMap<stream.Duplex, ConnectionState>();
 
-    constructor(private readonly onConnection: () => void, keepAlive = true) {
+    constructor(
+        private readonly onConnection: () => void,
+        keepAlive = true,
+        private readonly clock: decision.Clock = lifecycle.monotonicClock,
+    ) {
         super({ keepAlive, scheduling: "lifo" });
     }
 
@@ -51,7 +55,7 @@
         const timer = setTimeout(() => socket.destroy(new Error(CONNECT_TIMEOUT_REASON)), CONNECT_TIMEOUT_MS);
         socket.once("connect", () => {
             clearTimeout(timer);
-            this.stateOf(socket).connectedAt = lifecycle.monotonicClock();
+            this.stateOf(socket).connectedAt = this.clock();
         });
         socket.once("close", () => clearTimeout(timer));
         // A request that is aborted as its response ends has removed its listener by the time the error is emitted.
