--- a/packages/gateway/test/restartedupstreams.test.ts
+++ b/packages/gateway/test/restartedupstreams.test.ts
@@ -41,7 +41,7 @@
     };
 
     beforeEach(async () => {
-        fixture = new fixtures.Fixture(4_060);
+        fixture = new fixtures.Fixture(4_960);
         connections = new Set();
         await fixture.addStandIn("counter");
         await fixture.start(fixtures.makeConfiguration());
