--- a/packages/gateway/src/evidence.ts
+++ b/packages/gateway/src/evidence.ts
@@ -82,7 +82,10 @@
 
 /** Counts how the answer to a call ends, which is added to the record of the call, or why its head was refused. */
 export function followAnswer(
-    { answerEnds, malformedHeads }: Pick<metrics.GatewayMetrics, "answerEnds" | "malformedHeads">,
+    { answerEnds, endProofs, malformedHeads }: Pick<
+        metrics.GatewayMetrics,
+        "answerEnds" | "endProofs" | "malformedHeads"
+    >,
     call: string,
     outcome: calls.CallOutcome,
     record?: callrecords.CallRecord,
@@ -93,12 +96,20 @@
         }
         return;
     }
-    const { framing } = outcome.answer;
-    void outcome.answer.end.then((end) => {
+    const { answer } = outcome;
+    const { framing } = answer;
+    void answer.end.then((end) => {
         answerEnds.inc({ call, framing, end });
+        const proof = answer.endProof;
+        if (proof !== undefined) {
+            endProofs.inc({ proof });
+        }
         if (record && (framing === answers.Framing.Close || end !== answers.AnswerEnd.Whole)) {
             record.framing = framing;
             record.end = end;
+            if (proof !== undefined) {
+                record.endProof = proof;
+            }
         }
     });
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,6 +22,7 @@
     readonly droppedLogLines: promClient.Counter;
     readonly answerEnds: promClient.Counter<"call" | "framing" | "end">;
     readonly malformedHeads: promClient.Counter<"call" | "problem">;
+    readonly endProofs: promClient.Counter<"proof">;
     readonly foreignAnswers: promClient.Counter<"call">;
     readonly notRunAnswers: promClient.Counter<"service" | "status" | "basis">;
     readonly resends: promClient.Counter<"call" | "kind" | "basis">;
@@ -183,6 +184,9 @@
             "call",
             "problem",
         ]),
+        endProofs: counter("citronlead_gateway_end_proofs_total", "What ends of answers without framing rest on.", [
+            "proof",
+        ]),
         foreignAnswers: counter("citronlead_gateway_foreign_answers_total", "Answers that belonged to another call.", [
             "call",
         ]),
