Test of a body that ends within the first line of a second answer, known red

An answer that is cut by a few bytes and followed by a second one reaches its caller as complete: the first bytes of the second status line fill its length. SecondHeadScanner takes a body for cut only if it holds a whole line of a head, and what follows on the connection is not looked at.

--- a/packages/gateway/test/joinedanswers.test.ts
+++ b/packages/gateway/test/joinedanswers.test.ts
@@ -68,6 +68,20 @@
         }
     });
 
+    it("do not reach a caller as one body that ends within the first line of the second one", async () => {
+        const withLength = headWith(FRAMINGS.length);
+        for (
+            const [first, second] of [
+                [withLength + BODY.slice(0, -10), withLength + BODY],
+                [HEAD + BODY, HEAD.slice(0, 15)],
+            ] as const
+        ) {
+            answerRaw(first, second);
+            const { body, complete, status } = await fixture.send();
+            chai.expect(status === 200 && complete ? body : BODY).to.equal(BODY);
+        }
+    });
+
     it("do not reach a caller as one stream without framing", async () => {
         for (const last of [2, 4]) {
             answerRaw(HEAD + events(1, last), HEAD + events(1, 4));
