--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -122,11 +122,23 @@
     response.end(body);
 }
 
+let reservationIds = 0;
+
+/** An id that no other reservation has. */
+export function makeReservationId(): string {
+    return `reservation-${++reservationIds}`;
+}
+
+/** Body of the answer that grants a reservation. */
+export function grantReservation(id = makeReservationId()): string {
+    return JSON.stringify({ id });
+}
+
 /** How an engine responds that grants each reservation, and runs requests as given. */
 export function engineThatRuns(run: Behaviour): Behaviour {
     return (received, response, request) =>
         received.path === "/reserve" || received.path === "/state" || received.method === "DELETE"
-            ? void response.end(JSON.stringify({ id: "reservation" }))
+            ? void response.end(grantReservation())
             : run(received, response, request);
 }
 
