--- a/packages/upstream/src/service.ts
+++ b/packages/upstream/src/service.ts
@@ -25,6 +25,8 @@
     readonly body: Buffer;
 }
 
+/** Statuses of responses that have no body. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number | undefined> = new Set([204, 304]);
 /** Statuses that, with the header x-not-run, mean that the service did not run the call. */
 const NOT_RUN_STATUSES = new Set([429, 503]);
 
@@ -73,6 +75,11 @@
 async function readResponse(response: http.IncomingMessage, maxBytes: number): Promise<ServiceResponse> {
     const chunks: Buffer[] = [];
     let length = 0;
+    const { headers, socket } = response;
+    let isEndKnown = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
+        || STATUSES_WITHOUT_BODY.has(response.statusCode);
+    // A reset found together with data is reported as the end too; the connection has no peer any more then.
+    socket.prependOnceListener("end", () => isEndKnown ||= socket.remoteAddress !== undefined);
     for await (const chunk of response) {
         length += (chunk as Buffer).length;
         if (length > maxBytes) {
@@ -81,7 +88,7 @@
         }
         chunks.push(chunk as Buffer);
     }
-    if (!response.complete) {
+    if (!response.complete || !isEndKnown) {
         throw new Error("response ended early");
     }
     return { status: response.statusCode ?? 502, headers: response.headers, body: Buffer.concat(chunks) };
