Stand-ins of the gateway's tests grant each reservation under an id of its own

They gave one id to all reservations, which can be used once each (PROTOCOL.md): a release of one released the next. No check is relaxed: model.test compares with the id that was granted last in place of a constant, promises.seeded goes on reaching its runs. leaving, evacuations and unwritable grant as before.

--- a/packages/gateway/test/crashingparts.test.ts
+++ b/packages/gateway/test/crashingparts.test.ts
@@ -18,7 +18,7 @@
     const behave: fixtures.Behaviour = (received, response, request) => {
         const parts = String(received.headers["prompt-parts"] ?? "").split(",");
         if (received.path === "/reserve") {
-            response.end(JSON.stringify({ id: "reservation" }));
+            response.end(fixtures.grantReservation());
         }
         else if (received.method === "DELETE" || received.path === "/state") {
             response.end();
@@ -83,7 +83,7 @@
         engines.forEach((engine) => {
             engine.behave = (received, response, request) =>
                 received.path === "/reserve"
-                    ? void response.end(JSON.stringify({ id: "reservation" }))
+                    ? void response.end(fixtures.grantReservation())
                     : void setTimeout(() => request.socket.resetAndDestroy(), 300);
         });
         await Promise.all(Array.from({ length: 2 * ENGINE_COUNT }, () => send(["common", "rare"])));
--- a/packages/gateway/test/cutheads.test.ts
+++ b/packages/gateway/test/cutheads.test.ts
@@ -101,7 +101,7 @@
     const serveEngine: fixtures.Behaviour = (received, response, request) => {
         reused += cutSockets.has(request.socket) ? 1 : 0;
         if (received.path.startsWith("/reserve") || received.path === "/state" || received.method === "DELETE") {
-            response.end(JSON.stringify({ id: "reservation" }));
+            response.end(fixtures.grantReservation());
             return;
         }
         countRun(idOf(received));
@@ -200,7 +200,7 @@
     });
 
     it("of reservations hold nothing, and the request runs once elsewhere", async () => {
-        const body = JSON.stringify({ id: "reservation" });
+        const body = fixtures.grantReservation();
         const queue: cuts.Cut[] = [];
         let reservations = 0;
         engine.behave = (received, response, request) => {
@@ -250,7 +250,7 @@
         };
         decode.behave = (received, response) => {
             if (received.path.startsWith("/reserve")) {
-                response.end(JSON.stringify({ id: "reservation" }));
+                response.end(fixtures.grantReservation());
                 return;
             }
             sources.push(received.headers["source"]);
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -122,11 +122,18 @@
     response.end(body);
 }
 
+let grantedReservations = 0;
+
+/** Body of the answer that grants a reservation; no two have one id. */
+export function grantReservation(): string {
+    return JSON.stringify({ id: `reservation-${++grantedReservations}` });
+}
+
 /** How an engine responds that grants each reservation, and runs requests as given. */
 export function engineThatRuns(run: Behaviour): Behaviour {
     return (received, response, request) =>
         received.path === "/reserve" || received.path === "/state" || received.method === "DELETE"
-            ? void response.end(JSON.stringify({ id: "reservation" }))
+            ? void response.end(grantReservation())
             : run(received, response, request);
 }
 
--- a/packages/gateway/test/latecopies.test.ts
+++ b/packages/gateway/test/latecopies.test.ts
@@ -23,7 +23,7 @@
     });
     afterEach(() => fixture.close());
 
-    const reserve: fixtures.Behaviour = (_, response) => void response.end(JSON.stringify({ id: "reservation" }));
+    const reserve: fixtures.Behaviour = (_, response) => void response.end(fixtures.grantReservation());
     const serve = (onRun: fixtures.Behaviour, onReserve = reserve) => {
         engine.behave = (received, response, request) => {
             if (received.path.startsWith("/reserve")) {
--- a/packages/gateway/test/malformedheads.test.ts
+++ b/packages/gateway/test/malformedheads.test.ts
@@ -57,7 +57,7 @@
         it(`of engines with ${name} cost the request alone`, async () => {
             engine.behave = (received, response, request) => {
                 if (received.path.startsWith("/reserve")) {
-                    response.end(JSON.stringify({ id: "reservation" }));
+                    response.end(fixtures.grantReservation());
                     return;
                 }
                 request.socket.end(head(start, received, EVENTS));
--- a/packages/gateway/test/model.test.ts
+++ b/packages/gateway/test/model.test.ts
@@ -4,11 +4,17 @@
 
 const PROMPT = { "prompt-tokens": "500", "output-tokens": "100" };
 
+/** Ids of the reservations that each engine has granted, oldest first. */
+const granted = new Map<string, string[]>();
+
 /** Accepts reservations and prefills, and streams the given events. */
 function engine(name: string, events: readonly string[]): fixtures.Behaviour {
+    const ids = granted.get(name) ?? [];
+    granted.set(name, ids);
     return (received, response) => {
         if (received.path === "/reserve") {
-            response.end(JSON.stringify({ id: `${name}-reservation` }));
+            ids.push(`${name}-reservation-${ids.length}`);
+            response.end(JSON.stringify({ id: ids.at(-1) }));
         }
         else if (received.headers["stage"] === "prefill") {
             response.writeHead(200, { "request-id": "r-1" }).end(JSON.stringify({ handle: `${name}-handle` }));
@@ -73,7 +79,7 @@
         chai.expect(paths(prefill)).to.deep.equal(["POST /write/1"]);
         chai.expect(runs(decode)[0]?.headers).to.include({
             source: `${prefill.upstream.address}/prefill-handle`,
-            reservation: "decode-reservation",
+            reservation: granted.get("decode")?.at(-1),
         });
         chai.expect(runs(decode)[0]?.body).to.equal("prompt");
     });
@@ -180,7 +186,7 @@
         await fixture.send({ path: "/write/1", headers: PROMPT, disconnectAfterMs: 80 });
         await new Promise((resolve) => setTimeout(resolve, 300));
         chai.expect(runs(decode)).to.deep.equal([]);
-        chai.expect(paths(decode)).to.include("DELETE /reserve/decode-reservation");
+        chai.expect(paths(decode)).to.include(`DELETE /reserve/${granted.get("decode")?.at(-1)}`);
     });
 
     it("sends no request to an engine that began to drain during the prefill", async () => {
--- a/packages/gateway/test/prefill.test.ts
+++ b/packages/gateway/test/prefill.test.ts
@@ -14,7 +14,7 @@
         const decode = await fixture.addStandIn("decode", { service: "model", stage: routing.EngineStage.Decode });
         decode.behave = ({ path }, response) => {
             if (path.startsWith("/reserve")) {
-                response.end(JSON.stringify({ id: "reservation" }));
+                response.end(fixtures.grantReservation());
                 return;
             }
             response.writeHead(200, { "request-id": "r-1", "signature": "decode" }).end("id: 1\ndata: a\n\n");
--- a/packages/gateway/test/promises.seeded.test.ts
+++ b/packages/gateway/test/promises.seeded.test.ts
@@ -79,7 +79,7 @@
     /** Grants and refuses reservations, and repeats what it said later. */
     readonly control: fixtures.Behaviour = (_, response, request) => {
         const granted = this.random.chance(0.7);
-        response.writeHead(granted ? 200 : 503, granted ? {} : { "not-run": "1" }).end(JSON.stringify({ id: "held" }));
+        response.writeHead(granted ? 200 : 503, granted ? {} : { "not-run": "1" }).end(fixtures.grantReservation());
         if (this.random.chance(0.3)) {
             setTimeout(() => request.socket.write(`${REFUSAL}\r\n`), this.random.fraction() * 5);
         }
--- a/packages/gateway/test/promises.test.ts
+++ b/packages/gateway/test/promises.test.ts
@@ -86,7 +86,7 @@
             standIn.behave = (received, response, request) => {
                 if (!isRun(received)) {
                     usedForControl.add(request.socket);
-                    response.end(JSON.stringify({ id: "reservation" }));
+                    response.end(fixtures.grantReservation());
                 }
                 else if (usedForControl.has(request.socket)) {
                     request.socket.write(UNNAMED_REFUSAL);
--- a/packages/gateway/test/replaced.test.ts
+++ b/packages/gateway/test/replaced.test.ts
@@ -37,7 +37,7 @@
                 return;
             }
             lateReservations += refusedRuns > 0 ? 1 : 0;
-            response.end(JSON.stringify({ id: "reservation" }));
+            response.end(fixtures.grantReservation());
         };
         const headers = { "prompt-tokens": "500", "output-tokens": "100" };
         const response = await fixture.send({ path: "/write/1", headers });
--- a/packages/gateway/test/retries.test.ts
+++ b/packages/gateway/test/retries.test.ts
@@ -31,7 +31,7 @@
             const standIn = await fixture.addStandIn(id, { service: "model", stage: routing.EngineStage[stage] });
             standIn.behave = (received, response, request) => {
                 if (received.path === "/reserve") {
-                    response.end(JSON.stringify({ id: "r" }));
+                    response.end(fixtures.grantReservation());
                     return;
                 }
                 const isPrefill = received.headers["stage"] === "prefill";
--- a/packages/gateway/test/silence.test.ts
+++ b/packages/gateway/test/silence.test.ts
@@ -118,7 +118,7 @@
         for (const standIn of [first, second]) {
             standIn.behave = (received, response) => {
                 if (received.path.startsWith("/reserve")) {
-                    response.end(JSON.stringify({ id: "reservation" }));
+                    response.end(fixtures.grantReservation());
                     return;
                 }
                 // A suspected engine is asked whether it runs, which is no run.
--- a/packages/gateway/test/smallpieces.test.ts
+++ b/packages/gateway/test/smallpieces.test.ts
@@ -77,7 +77,7 @@
         it(`of an engine are cut off: ${name}`, async () => {
             engine.behave = (received, response, request) =>
                 received.path.startsWith("/reserve")
-                    ? void response.end(JSON.stringify({ id: "reservation" }))
+                    ? void response.end(fixtures.grantReservation())
                     : writePieces(request.socket, start, piece);
             await expectBounded(async () => {
                 const response = await fixture.send({ path: "/write/1", headers });
--- a/packages/gateway/test/stopping.test.ts
+++ b/packages/gateway/test/stopping.test.ts
@@ -37,7 +37,7 @@
         const engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
         engine.behave = (received, response) => {
             if (received.path.startsWith("/reserve")) {
-                response.end(JSON.stringify({ id: "reservation" }));
+                response.end(fixtures.grantReservation());
                 return;
             }
             response.writeHead(200, { "request-id": "stream", "signature": "s" });
@@ -133,7 +133,7 @@
         const engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
         engine.behave = ({ path, headers }, response) => {
             if (path.startsWith("/reserve")) {
-                response.writeHead(isFull ? 503 : 200).end(JSON.stringify({ id: "reservation" }));
+                response.writeHead(isFull ? 503 : 200).end(fixtures.grantReservation());
                 return;
             }
             ran.push(String(headers["request-id"]));
--- a/packages/gateway/test/stopwaits.test.ts
+++ b/packages/gateway/test/stopwaits.test.ts
@@ -64,7 +64,7 @@
                 : void response.end("{}");
         decode.behave = (received, response, request) =>
             received.path.startsWith("/reserve")
-                ? void response.end(JSON.stringify({ id: "reservation" }))
+                ? void response.end(fixtures.grantReservation())
                 : run(received, response, request);
         await fixture.start(configuration());
         chai.expect(await sendAndStop("/write/1")).to.include({ status: 503 });
--- a/packages/gateway/test/streamanswers.test.ts
+++ b/packages/gateway/test/streamanswers.test.ts
@@ -118,7 +118,7 @@
         for (const standIn of fixture.standIns) {
             standIn.behave = (received, response, request) => {
                 if (received.path.startsWith("/reserve") || received.path === "/state") {
-                    response.end(JSON.stringify({ id: "reservation" }));
+                    response.end(fixtures.grantReservation());
                     return;
                 }
                 runs.push(received.headers);
@@ -270,7 +270,7 @@
         runs = 0;
         engine.behave = (received, response, request) =>
             received.path.startsWith("/reserve") || received.path === "/state"
-                ? void response.end(JSON.stringify({ id: "reservation" }))
+                ? void response.end(fixtures.grantReservation())
                 : (answers[runs++] ?? answers.at(-1))?.(response, request);
     };
     const send = (path: string) => {
--- a/packages/gateway/test/unframed.test.ts
+++ b/packages/gateway/test/unframed.test.ts
@@ -20,7 +20,7 @@
         let runs = 0;
         engine.behave = (received, response) => {
             if (received.path.startsWith("/reserve") || received.path === "/state") {
-                response.end(JSON.stringify({ id: "reservation" }));
+                response.end(fixtures.grantReservation());
                 return;
             }
             response.useChunkedEncodingByDefault = false;
--- a/packages/gateway/test/versions.test.ts
+++ b/packages/gateway/test/versions.test.ts
@@ -9,7 +9,7 @@
 function engine(name: string, breaksAt = Infinity): fixtures.Behaviour {
     return (received, response, request) => {
         if (received.path === "/reserve") {
-            response.end(JSON.stringify({ id: `${name}-reservation` }));
+            response.end(fixtures.grantReservation());
         }
         else if (received.method === "DELETE" || received.path === "/state") {
             response.end();
--- a/packages/gateway/test/warmup.test.ts
+++ b/packages/gateway/test/warmup.test.ts
@@ -117,7 +117,7 @@
                 count("engine");
             }
             if (received.path === "/reserve" || received.method === "DELETE") {
-                response.end(JSON.stringify({ id: "reservation" }));
+                response.end(fixtures.grantReservation());
                 return;
             }
             response.writeHead(200, {
