Know the late copy of a granted reservation's answer by the reservation

Callers saw nothing of it by itself: the late copy of one reservation's answer was taken for the next one's, so that a run bore a reservation that had been released, or another request's, and the one that was granted stayed held until it expired.

Cause: answers to control calls bear no id of a request, so that their place on the connection was taken for their address. What is granted bears an id, and a copy comes on the connection of its original: a connection now keeps the latest 32 ids, and an answer that grants one of them again counts as lost, is logged and counted, and closes the connection.

New case in evidence: failed on the former code (no answer counted at the reservation), passes now. No new connections but for those that copies close.

--- a/packages/gateway/src/control.ts
+++ b/packages/gateway/src/control.ts
@@ -30,6 +30,8 @@
     readonly pool?: string;
     /** Called with the connection of the call. */
     readonly onConnection?: (socket: net.Socket) => void;
+    /** What an answer grants, by an id that its upstream gives once; undefined if it grants nothing. */
+    readonly grantOf?: (answer: { readonly status: number; readonly body: unknown; }) => string | undefined;
 }
 
 /** Starts a control call to an upstream, such as a reservation; its response belongs to no request. */
@@ -99,9 +101,16 @@
             ? decision.noEffect(outcome.reason)
             : decision.unknownEffect(outcome.reason);
     }
+    const { socket } = outcome.response;
     const bytes = await calls.readBody(outcome.answer, options.timeoutMs, calls.MAX_CONTROL_BODY_BYTES);
     if (!bytes) {
         return decision.unknownEffect("answer broken off");
     }
-    return decision.knownEffect({ status: outcome.response.statusCode ?? 0, body: json.parseJson(bytes) });
+    const answer = { status: outcome.response.statusCode ?? 0, body: json.parseJson(bytes) };
+    const grant = options.grantOf?.(answer);
+    if (grant !== undefined && !context.agent.recordGrant(socket, grant)) {
+        evidences.reportCopy(context, upstream.id, options.name, outcome);
+        return decision.unknownEffect("copy of the answer to an earlier call");
+    }
+    return decision.knownEffect(answer);
 }
--- a/packages/gateway/src/evidence.ts
+++ b/packages/gateway/src/evidence.ts
@@ -140,3 +140,21 @@
         answeredMs: outcome.trace?.answeredMs,
     }, true);
 }
+
+/** Logs and counts a copy of the answer to an earlier control call, which came in place of the answer to this one. */
+export function reportCopy(
+    context: contexts.GatewayContext,
+    upstream: string,
+    call: string,
+    { response, trace }: Extract<calls.CallOutcome, { progress: calls.CallProgress.Responded; }>,
+): void {
+    context.metrics.foreignAnswers.inc({ call });
+    context.log.decision("answer of another call", {
+        upstream,
+        call,
+        status: response.statusCode,
+        connection: trace?.connection,
+        use: trace?.use,
+        answeredMs: trace?.answeredMs,
+    }, true);
+}
--- a/packages/gateway/src/model/reservation.ts
+++ b/packages/gateway/src/model/reservation.ts
@@ -298,6 +298,8 @@
     const { context } = exchange;
     const startedAt = context.clock();
     const call = context.wireFormat.reserveCall(tokens, lifetimeMs);
+    const grantOf = ({ status, body }: { readonly status: number; readonly body: unknown; }) =>
+        status === 200 ? context.wireFormat.parseReservationId(body) : undefined;
     if (context.pool.exclusionOf(candidate.upstream, startedAt) !== undefined) {
         return undefined;
     }
@@ -308,6 +310,7 @@
         name: "reserve",
         purpose: controls.ControlPurpose.Work,
         timeoutMs: RESERVE_TIMEOUT_MS,
+        grantOf,
     });
     const now = context.clock();
     if (outcome.effect !== decision.Effect.Known) {
@@ -316,7 +319,7 @@
         return undefined;
     }
     exchange.hasContact = true;
-    const id = outcome.value.status === 200 ? context.wireFormat.parseReservationId(outcome.value.body) : undefined;
+    const id = grantOf(outcome.value);
     if (id === undefined) {
         candidate.health.record(dispatch.SendResult.Full, now);
         context.metrics.sends.inc({ service: exchange.service, call: "reserve", result: "full" });
--- a/packages/gateway/src/upstream/agent.ts
+++ b/packages/gateway/src/upstream/agent.ts
@@ -14,8 +14,8 @@
  * Margin by which a connection is closed before the upstream closes it, since the announced time is in whole seconds.
  */
 const IDLE_MARGIN_MS = 1_000;
-/** Requests of which a connection keeps the ids: a late copy of an answer comes in place of the next answers. */
-const MAX_CARRIED_IDS = 32;
+/** Requests and answers of which a connection keeps the ids: a late copy of an answer comes in place of the next answers. */
+const MAX_KEPT_IDS = 32;
 /** Length beyond which ids are not kept. */
 const MAX_ID_LENGTH = 128;
 
@@ -26,6 +26,8 @@
     readonly carriedIds: string[];
     /** When it was established; undefined until it is. */
     connectedAt: decision.Milliseconds | undefined;
+    /** What the latest answers on the connection have granted, oldest first. */
+    readonly grants: string[];
 }
 
 /** Connections are pooled by incarnation, so that those of a previous incarnation are never used for a new one. */
@@ -85,20 +87,33 @@
 
     /** Records how long the upstream keeps the connection of a response open when idle. */
     recordKeepAlive(socket: stream.Duplex, headers: http.IncomingHttpHeaders): void {
+        const state = this.stateOf(socket);
+        if (state.maxIdleMs <= 0) {
+            return;
+        }
         const seconds = /timeout=(\d+)/.exec(String(headers["keep-alive"] ?? ""))?.[1];
         const maxIdleMs = seconds === undefined ? MAX_IDLE_MS : Number(seconds) * 1_000 - IDLE_MARGIN_MS;
-        this.stateOf(socket).maxIdleMs = Math.min(MAX_IDLE_MS, Math.max(0, maxIdleMs));
+        state.maxIdleMs = Math.min(MAX_IDLE_MS, Math.max(0, maxIdleMs));
     }
 
     /** Records that a connection carries a request with this id. */
     recordRequest(socket: stream.Duplex, id: string): void {
-        const { carriedIds } = this.stateOf(socket);
-        if (id.length <= MAX_ID_LENGTH) {
-            carriedIds.push(id);
-        }
-        if (carriedIds.length > MAX_CARRIED_IDS) {
-            carriedIds.shift();
+        keepId(this.stateOf(socket).carriedIds, id);
+    }
+
+    /**
+     * Records what an answer on a connection grants. Returns false if one before it has granted the same, so that this is a copy; the
+     * answer that is due comes after it, and the connection is closed.
+     */
+    recordGrant(socket: stream.Duplex, id: string): boolean {
+        const state = this.stateOf(socket);
+        if (state.grants.includes(id)) {
+            state.maxIdleMs = 0;
+            this.closeIfIdle(socket);
+            return false;
         }
+        keepId(state.grants, id);
+        return true;
     }
 
     /** Whether an idle connection to the incarnation has carried, or may have carried, a request with this id. */
@@ -134,9 +149,15 @@
         return [...this.freeSockets[incarnation] ?? [], ...this.freeSockets[probePool(incarnation)] ?? []];
     }
 
+    private closeIfIdle(socket: stream.Duplex): void {
+        if (Object.values(this.freeSockets).some((sockets) => sockets?.some((idle) => idle === socket))) {
+            socket.destroy();
+        }
+    }
+
     private stateOf(socket: stream.Duplex): ConnectionState {
         const state = this.connections.get(socket)
-            ?? { maxIdleMs: MAX_IDLE_MS, carriedIds: [], connectedAt: undefined };
+            ?? { maxIdleMs: MAX_IDLE_MS, carriedIds: [], grants: [], connectedAt: undefined };
         this.connections.set(socket, state);
         return state;
     }
@@ -146,6 +167,15 @@
     return `${incarnation} probe`;
 }
 
+function keepId(ids: string[], id: string): void {
+    if (id.length <= MAX_ID_LENGTH) {
+        ids.push(id);
+    }
+    if (ids.length > MAX_KEPT_IDS) {
+        ids.shift();
+    }
+}
+
 function destroyIdle(this: stream.Duplex): void {
     this.destroy();
 }
--- a/packages/gateway/test/evidence.test.ts
+++ b/packages/gateway/test/evidence.test.ts
@@ -1,6 +1,8 @@
 import * as dispatch from "@citronlead/dispatch";
+import * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import * as chai from "chai";
+import type * as net from "node:net";
 import * as evidences from "../src/evidence.js";
 import * as metrics from "../src/metrics.js";
 import * as fixtures from "./fixture.js";
@@ -56,7 +58,7 @@
         let reservations = 0;
         engine.behave = (received, response, request) => {
             if (received.path === "/reserve" && reservations++ > 0) {
-                response.end(JSON.stringify({ id: "reservation" }));
+                response.end(fixtures.grantReservation());
                 return;
             }
             request.socket.write(late);
@@ -68,6 +70,32 @@
         chai.expect(lines).to.include(`call="reserve"} 1`).and.include(`call="decode"} 1`);
     });
 
+    it("counts a copy of the answer to an earlier reservation, whose connection is closed", async () => {
+        const engine = await fixture.addStandIn("engine", { service: "model", stage: routing.EngineStage.Whole });
+        const grants = new Map<net.Socket, string>();
+        let copiedOn: net.Socket | undefined;
+        engine.behave = (received, response, { socket }) => {
+            if (received.path !== "/reserve") {
+                fixtures.signed(response, received, "id: 1\ndata: a\n\n");
+                return;
+            }
+            const body = fixtures.grantReservation();
+            const copy = grants.get(socket);
+            if (copy !== undefined && copiedOn === undefined) {
+                copiedOn = socket;
+                socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${copy.length}\r\n\r\n${copy}`);
+            }
+            grants.set(socket, body);
+            response.end(body);
+        };
+        await fixture.start(fixtures.makeConfiguration());
+        await fixture.send({ path: "/write/1", headers: { "prompt-tokens": "500", "output-tokens": "100" } });
+        await lifecycle.pause(fixture.scope, 100);
+        const lines = (await linesOf("foreign_answers")).map((line) => line.replace(/.*\{/, ""));
+        chai.expect(lines).to.include(`call="reserve"} 1`);
+        chai.expect(copiedOn?.destroyed).to.equal(true);
+    });
+
     it("is the weakest of several sends, and of none without sends", () => {
         const { EvidenceOfSends, UNPROVED } = evidences;
         const { NotConnected, UpstreamRefusal } = dispatch.NotRunProof;
