--- a/packages/gateway/test/evacuations.test.ts
+++ b/packages/gateway/test/evacuations.test.ts
@@ -83,13 +83,18 @@
         const near = await engine("engine", "a");
         const far = await engine("other", "b");
         await start();
+        const granted: string[] = [];
         near.behave = async (received, response) => {
             if (received.path === "/reserve" && received.body.includes("500")) {
                 empty("a");
                 await heard();
             }
             if (received.path.startsWith("/reserve")) {
-                response.end(JSON.stringify({ id: "reservation" }));
+                const id = fixtures.makeReservationId();
+                if (received.method === "POST") {
+                    granted.push(id);
+                }
+                response.end(fixtures.grantReservation(id));
                 return;
             }
             response.writeHead(200, { signature: "s" });
@@ -107,7 +112,7 @@
         chai.expect(moved).to.include({ status: 200, body: EVENT });
         await heard();
         chai.expect(paths(near).filter((path) => path.startsWith("GET /write"))).to.deep.equal([]);
-        chai.expect(paths(near)).to.include("DELETE /reserve/reservation");
+        chai.expect(paths(near)).to.include(`DELETE /reserve/${granted.at(-1)}`);
         chai.expect(paths(far)).to.include("GET /write/2");
     });
 
--- a/packages/gateway/test/fixture.ts
+++ b/packages/gateway/test/fixture.ts
@@ -122,11 +122,16 @@
     response.end(body);
 }
 
-let grantedReservations = 0;
+let reservationIds = 0;
 
-/** Body of the answer that grants a reservation; no two have one id. */
-export function grantReservation(): string {
-    return JSON.stringify({ id: `reservation-${++grantedReservations}` });
+/** An id that no other reservation has. */
+export function makeReservationId(): string {
+    return `reservation-${++reservationIds}`;
+}
+
+/** Body of the answer that grants a reservation. */
+export function grantReservation(id = makeReservationId()): string {
+    return JSON.stringify({ id });
 }
 
 /** How an engine responds that grants each reservation, and runs requests as given. */
--- a/packages/gateway/test/leaving.test.ts
+++ b/packages/gateway/test/leaving.test.ts
@@ -22,14 +22,18 @@
     });
     afterEach(() => fixture.close());
 
+    const granted: string[] = [];
     const runs = () => engine.received.filter(({ path }) => path.startsWith("/write/")).length;
     const behave = (leavesAt: "/reserve" | "/write/1", whileRunning: () => Promise<void> = async () => undefined) => {
+        granted.length = 0;
         engine.behave = async (received, response) => {
             if (received.path.startsWith(leavesAt)) {
                 response.setHeader("leaving", "1");
             }
             if (received.path.startsWith("/reserve")) {
-                response.end(JSON.stringify({ id: "reservation" }));
+                const id = fixtures.makeReservationId();
+                granted.push(id);
+                response.end(fixtures.grantReservation(id));
                 return;
             }
             response.writeHead(200, { signature: "s" });
@@ -46,7 +50,7 @@
         chai.expect(response.tookMs).to.be.below(400);
         await lifecycle.pause(fixture.scope, 50);
         chai.expect(engine.received.map(({ method, path }) => `${method} ${path}`))
-            .to.deep.equal(["POST /reserve", "DELETE /reserve/reservation"]);
+            .to.deep.equal(["POST /reserve", `DELETE /reserve/${granted[0]}`]);
     });
 
     it("finishes what runs there, and gets nothing new", async () => {
