--- a/packages/upstream/src/service.ts
+++ b/packages/upstream/src/service.ts
@@ -78,8 +78,10 @@
     const { headers, socket } = response;
     let isEndKnown = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
         || STATUSES_WITHOUT_BODY.has(response.statusCode);
-    // A reset found together with data is reported as the end too; the connection has no peer any more then.
-    socket.prependOnceListener("end", () => isEndKnown ||= socket.remoteAddress !== undefined);
+    if (!isEndKnown) {
+        // A reset found together with data is reported as the end too; the connection has no peer any more then.
+        socket.prependOnceListener("end", () => isEndKnown = socket.remoteAddress !== undefined);
+    }
     for await (const chunk of response) {
         length += (chunk as Buffer).length;
         if (length > maxBytes) {
