--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -19,6 +19,7 @@
 import type * as turns from "./turns.js";
 import type * as agents from "./upstream/agent.js";
 import type * as notices from "./upstream/notices.js";
+import type * as polling from "./upstream/polls.js";
 import type * as pools from "./upstream/pool.js";
 import type * as wires from "./wire.js";
 
@@ -33,7 +34,7 @@
     readonly metrics: metrics.GatewayMetrics;
     readonly wireFormat: wires.WireFormat;
     readonly agent: agents.UpstreamAgent;
-    readonly polls: dispatch.PollTimes;
+    readonly polls: polling.PollRecorder;
     readonly pool: pools.UpstreamPool;
     readonly notices: notices.UpstreamNotices;
     readonly storeView: views.StoreView;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 import * as turns from "./turns.js";
 import * as agents from "./upstream/agent.js";
 import * as notices from "./upstream/notices.js";
+import * as polling from "./upstream/polls.js";
 import * as pools from "./upstream/pool.js";
 import * as warmups from "./warmup.js";
 import type * as wires from "./wire.js";
@@ -102,8 +103,7 @@
     const log = logs.makeDecisionLog(identity, clock, () => gatewayMetrics.droppedLogLines.inc());
     const agent = new agents.UpstreamAgent(() => gatewayMetrics.connections.inc());
     scope.defer(() => agent.destroy());
-    const polls = new dispatch.PollTimes(clock());
-    liveness.recordPolls(scope, clock, polls);
+    const polls = new polling.PollRecorder(scope, clock);
     // An idle connection to another host may have gone silent, and opening one costs a round trip.
     const hostAgent = new agents.UpstreamAgent(() => undefined, false);
     scope.defer(() => hostAgent.destroy());
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -1,6 +1,5 @@
 import type * as decision from "@citronlead/decision";
 import * as dispatch from "@citronlead/dispatch";
-import type * as lifecycle from "@citronlead/lifecycle";
 import * as routing from "@citronlead/routing";
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
@@ -15,9 +14,6 @@
 /** Attempts before an upstream counts as gone: the first may use a connection that was closed while idle. */
 const ATTEMPTS = 2;
 
-/** Time between two records of the polls of the event loop. */
-const POLL_RECORD_PERIOD_MS = 15;
-
 /** How a running upstream of a service is recognised. */
 interface Probe {
     readonly path: string;
@@ -42,37 +38,28 @@
     return running;
 }
 
-/** Records the polls of the event loop. */
-export function recordPolls(scope: lifecycle.Scope, clock: decision.Clock, polls: dispatch.PollTimes): void {
-    let timer: NodeJS.Timeout | undefined;
-    scope.defer(() => clearTimeout(timer));
-    const schedule = () => {
-        if (!scope.closed) {
-            timer = setTimeout(recordPoll, POLL_RECORD_PERIOD_MS);
-        }
-    };
-    const recordPoll = () => {
-        const startedAt = clock();
-        // Late timers run several times before the loop polls; immediates run after it has.
-        setImmediate(() => {
-            polls.record(startedAt);
-            schedule();
-        });
-    };
-    schedule();
-}
-
-/** Watches the end of a response. */
+/** Watches the end of a response; polls are recorded only for upstreams that have ended responses with their connection. */
 export function watchEnd(context: contexts.GatewayContext, upstream: routing.Upstream): answers.EndWatch {
-    const { clock, polls } = context;
-    const sight = new dispatch.EndSight(polls);
+    const { agent, clock, polls } = context;
+    const incarnation = routing.incarnationOf(upstream);
+    const isRecording = agent.endsWithConnections(incarnation);
     let openAt = -Infinity;
+    let sight: dispatch.EndSight | undefined;
     return {
+        begin: () => {
+            if (isRecording) {
+                polls.start();
+            }
+            // Without records, the connection was last known to be open as the request was sent.
+            sight = new dispatch.EndSight(isRecording ? polls : { polledAt: clock() });
+        },
         follow: (response) => {
-            response.socket.prependOnceListener("end", () => openAt = sight.openAt);
-            response.on("pause", () => sight.hold(clock()));
-            response.on("resume", () => sight.resume(clock()));
+            agent.recordEndWithConnection(incarnation);
+            response.socket.prependOnceListener("end", () => openAt = sight?.openAt ?? -Infinity);
+            response.on("pause", () => sight?.hold(clock()));
+            response.on("resume", () => sight?.resume(clock()));
         },
+        end: () => isRecording && polls.stop(),
         findProof: () => findProof(context, upstream, openAt),
     };
 }
--- a/packages/gateway/src/upstream/agent.ts
+++ b/packages/gateway/src/upstream/agent.ts
@@ -19,6 +19,9 @@
 /** Length beyond which ids are not kept. */
 const MAX_ID_LENGTH = 128;
 
+/** Incarnations of which it is kept that they end responses with their connection. */
+const MAX_ENDING_INCARNATIONS = 1_024;
+
 interface ConnectionState {
     /** Maximum idle time; 0 if the connection must not be reused. */
     maxIdleMs: decision.Milliseconds;
@@ -38,6 +41,7 @@
 /** Pools connections to upstreams. Bytes that arrive on an idle connection close it. */
 export class UpstreamAgent extends http.Agent {
     private readonly connections = new WeakMap<stream.Duplex, ConnectionState>();
+    private readonly endingIncarnations = new Set<string>();
 
     constructor(
         private readonly onConnection: () => void,
@@ -127,6 +131,19 @@
         this.idleTo(incarnation).forEach((socket) => socket.destroy());
     }
 
+    /** Records that an upstream has ended a response with its connection. */
+    recordEndWithConnection(incarnation: string): void {
+        if (this.endingIncarnations.size >= MAX_ENDING_INCARNATIONS) {
+            this.endingIncarnations.clear();
+        }
+        this.endingIncarnations.add(incarnation);
+    }
+
+    /** Whether an upstream has ended a response with its connection. */
+    endsWithConnections(incarnation: string): boolean {
+        return this.endingIncarnations.has(incarnation);
+    }
+
     /** When a connection was established; undefined if it has not been. */
     connectedAt(socket: stream.Duplex): decision.Milliseconds | undefined {
         return this.stateOf(socket).connectedAt;
--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -32,6 +32,9 @@
 
 /** Tells whether the upstream that closed the connection of a response without framing had stopped. */
 export interface EndWatch {
+    /** Called before the call is sent, and once it is over. */
+    readonly begin: () => void;
+    readonly end: () => void;
     /** Follows the response while it is read. */
     readonly follow: (response: http.IncomingMessage) => void;
     /** What shows that the upstream has not stopped; undefined if nothing does. */
--- a/packages/gateway/src/upstream/call.ts
+++ b/packages/gateway/src/upstream/call.ts
@@ -121,6 +121,7 @@
             resolve({ progress: CallProgress.NotSent, failure: CallFailure.Unwritable, reason: request.problem });
             return;
         }
+        call.endWatch?.begin();
         const trace = traces.traceCall(request);
         let foreign: ForeignResponse | undefined;
         let connected = false;
@@ -163,6 +164,7 @@
             reason ??= error.message;
         });
         request.on("close", () => {
+            call.endWatch?.end();
             clearTimeout(timer);
             // A switch of protocols has neither a response nor an error.
             if (reason === undefined && heads.problem !== undefined) {
