Test of whole answers without framing: with idle connections that prove their upstream has run

Traced to the bound of 100 ms in dispatch/src/answerends.ts: without an older connection, a process that stands still for longer cannot tell whether its upstream has started again, and answers 502 by design.

--- a/packages/gateway/test/answerends.test.ts
+++ b/packages/gateway/test/answerends.test.ts
@@ -25,6 +25,12 @@
             received.path === "/health" ? void response.end() : answer(request.socket);
         engine.behave = fixtures.engineThatRuns((_, __, request) => answer(request.socket));
     };
+    /** Leaves idle connections to the upstreams, which prove that they have run since, however busy this process is. */
+    const leaveIdleConnections = async () => {
+        counter.behave = (received, response) => fixtures.signed(response, received, "framed");
+        const responses = await Promise.all([fixture.send(), fixture.send()]);
+        chai.expect(responses.map(({ status }) => status)).to.deep.equal([200, 200]);
+    };
     /** Writes the last part and resets the connection in one turn, so that both are found together. */
     const reset = (socket: net.Socket, text: string) => {
         socket.write(text);
@@ -97,6 +103,7 @@
     });
 
     it("are passed on if their server closes the connection after the last byte", async () => {
+        await leaveIdleConnections();
         for (const head of HEADS) {
             answerRaw((socket) => socket.end(`${head}whole`));
             chai.expect(await fixture.send(), head).to.include({ status: 200, body: "whole", complete: true });
@@ -104,6 +111,7 @@
     });
 
     it("do not look complete to their callers if this host ends within them: short ones have a length", async () => {
+        await leaveIdleConnections();
         answerRaw((socket) => socket.end(`${HEAD}whole`));
         chai.expect((await fixture.send()).headers).to.include({ "content-length": "5" });
     });
