--- a/packages/gateway/src/model/relay.ts
+++ b/packages/gateway/src/model/relay.ts
@@ -79,7 +79,6 @@
         };
         const silenceWatch = new silences.SilenceWatch(
             silence,
-            context.clock,
             () => flow.heldMs,
             () => source.destroy(),
         );
--- a/packages/gateway/src/model/silencewatch.ts
+++ b/packages/gateway/src/model/silencewatch.ts
@@ -11,15 +11,11 @@
 /** Watches how long the upstream of a stream has been silent. Time in which this host reads nothing of it does not count. */
 export class SilenceWatch {
     private readonly steps: readonly SilenceStep[];
-    private nextStep = 0;
-    private startedAt: decision.Milliseconds = 0;
-    private heldBeforeMs: decision.Milliseconds = 0;
     private timer: NodeJS.Timeout | undefined;
 
     /** `heldMs` is the time in which nothing was read so far; `giveUp` ends the answer. */
     constructor(
         limits: relays.SilenceLimits,
-        private readonly clock: decision.Clock,
         private readonly heldMs: () => decision.Milliseconds,
         giveUp: () => void,
     ) {
@@ -33,29 +29,30 @@
 
     /** Starts anew: the upstream has sent something. */
     restart(): void {
-        this.startedAt = this.clock();
-        this.heldBeforeMs = this.heldMs();
-        this.nextStep = 0;
-        this.check();
+        this.stop();
+        this.wait(0, this.steps[0]?.atMs ?? 0);
     }
 
     /** Stops watching. */
     stop(): void {
         clearTimeout(this.timer);
-        this.nextStep = this.steps.length;
     }
 
-    private check(): void {
-        clearTimeout(this.timer);
-        const silentMs = this.clock() - this.startedAt - (this.heldMs() - this.heldBeforeMs);
-        let step = this.steps[this.nextStep];
-        while (step && silentMs >= step.atMs - exchanges.TIMER_RESOLUTION_MS) {
-            this.nextStep++;
-            step.act();
-            step = this.steps[this.nextStep];
-        }
-        if (step) {
-            this.timer = setTimeout(() => this.check(), step.atMs - silentMs);
-        }
+    /** Waits for a step. One follows on the other by a timer of its own, so that a process that stood still reads before the next. */
+    private wait(index: number, delayMs: decision.Milliseconds): void {
+        const heldBeforeMs = this.heldMs();
+        this.timer = setTimeout(() => {
+            const heldMs = this.heldMs() - heldBeforeMs;
+            const [step, next] = this.steps.slice(index);
+            if (heldMs > exchanges.TIMER_RESOLUTION_MS) {
+                this.wait(index, heldMs);
+            }
+            else if (step) {
+                if (next) {
+                    this.wait(index + 1, next.atMs - step.atMs);
+                }
+                step.act();
+            }
+        }, delayMs);
     }
 }
