Say what `early` means now, and keep the description of the package before its exports

The formatter had put the first export of packages/dispatch above the package's description. No change of behaviour: comments and the order of exports.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,8 +1,8 @@
-export * from "./answerends.js";
 /**
  * Decisions on routed requests: placement on upstreams, queueing, refusal and Retry-After times, retries, workspace
  * quotas, and blocking of requests that crash upstreams. Performs no I/O; the current time is passed in.
  */
+export * from "./answerends.js";
 export * from "./budget.js";
 export * from "./callerbounds.js";
 export * from "./crashes.js";
--- a/packages/gateway/src/upstream/answer.ts
+++ b/packages/gateway/src/upstream/answer.ts
@@ -22,7 +22,7 @@
     Abandoned = "abandoned",
     /** The connection of a response without framing was reset. */
     Reset = "reset",
-    /** A response without framing, which began before its request had been written. */
+    /** A response without framing whose connection ended before its request had been written. */
     Early = "early",
     /** The head of another response stands within the body, or right behind it. */
     Joined = "joined",
