Review: long answers in many small chunks are cut off

A sound server that writes an answer of 960,000 bytes row by row, a chunk for each row, has its answers broken off by the host, which counts chunks as pieces and allows 16,384 of them at once.

--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -90,6 +90,16 @@
             "X-Citronlead-Server-Seal": `seal.${requestId}`,
             "Content-Type": "text/plain",
         });
-        response.end(`done ${requestId}`);
+        if (request.headers["x-list"] === undefined) {
+            response.end(`done ${requestId}`);
+        }
+        else {
+            await this.writeAnswer(response, run);
+        }
+    }
+
+    /** Writes the answer to a request for a list. */
+    async writeAnswer(response) {
+        response.end("a list");
     }
 }
