Review: a host whose lease has ended goes on as owner of quota windows

While the store turns one host away, the others make another host the owner of its tenants' windows, and both grant.

--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -8,32 +8,42 @@
     nextLease = 1000;
     changes = [];
     waiting = new Set();
-    /** Called with each write call before it runs: "run", "lose" (runs, no answer) or { lateMs } (no answer, runs later). */
+    /** Called with each transaction and its machine before it runs: "run", "lose" (runs, no answer) or { lateMs } (no answer, runs later). */
     onWrite = () => "run";
-    /** Called with each call's source; true if the call is turned away with a 503. */
+    /** Called with each call; true if it is turned away with a 503. */
     isTurnedAway = () => false;
+    onCall = () => undefined;
 
     constructor(log = () => undefined) {
         this.log = log;
-        this.server = http.createServer((request, response) => {
-            this.handle(request, response).catch((error) => {
-                this.log("store error", { error: String(error) });
-                response.destroy();
-            });
-        });
-        this.server.on("clientError", (_, socket) => socket.destroy());
+        this.servers = [];
         this.timer = setInterval(() => this.endLeases(), 20);
     }
 
     async listen() {
-        await new Promise((resolve) => this.server.listen(0, "127.0.0.1", resolve));
-        this.address = `127.0.0.1:${this.server.address().port}`;
+        this.address = await this.listenFor("");
+    }
+
+    /** Listens at an address of its own for one machine, so that the store knows whose calls come there. */
+    async listenFor(machine) {
+        const server = http.createServer((request, response) => {
+            this.handle(request, response, machine).catch((error) => {
+                this.log("store error", { error: String(error) });
+                response.destroy();
+            });
+        });
+        server.on("clientError", (_, socket) => socket.destroy());
+        this.servers.push(server);
+        await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
+        return `127.0.0.1:${server.address().port}`;
     }
 
     close() {
         clearInterval(this.timer);
-        this.server.close();
-        this.server.closeAllConnections();
+        for (const server of this.servers) {
+            server.close();
+            server.closeAllConnections();
+        }
     }
 
     put(key, value, lease = 0) {
@@ -76,7 +86,7 @@
         [...this.waiting].forEach((wake) => wake());
     }
 
-    async handle(request, response) {
+    async handle(request, response, machine) {
         const url = new URL(request.url, "http://store");
         const chunks = [];
         for await (const chunk of request) {
@@ -89,8 +99,9 @@
             response.writeHead(status, { "Content-Type": "application/json", "Store-Era": "1" });
             response.end(value === undefined ? "" : JSON.stringify(value));
         };
-        const source = `${request.socket.remoteAddress}:${request.socket.remotePort}`;
-        if (this.isTurnedAway({ request, url, body, source })) {
+        const call = { machine, method: request.method, path: url.pathname, body };
+        this.onCall(call);
+        if (this.isTurnedAway(call)) {
             answer(503, {});
             return;
         }
@@ -127,7 +138,7 @@
             answer(200, {});
         }
         else if (request.method === "POST" && path === "/-/kv-txn") {
-            const fate = this.onWrite(body);
+            const fate = this.onWrite(body, machine);
             if (fate === "run") {
                 const { status, value } = this.write(body);
                 answer(status, value);
