Review: the beginning of a second answer completes the body of the first

A faulty server breaks off an answer within its last bytes and sends it once more on the same connection. The caller gets a 200 with the seal, complete by its length, that ends with the status line of the second answer.

--- a/review/lib-3/client.mjs
+++ b/review/lib-3/client.mjs
@@ -9,7 +9,7 @@
     }
 
     /** Sends a request. Resolves to { id, outcome, status, signed, text, reused, tookMs }; never rejects. */
-    send({ method = "POST", path, key, body, deadlineMs = 3_000, headers = {} }) {
+    send({ method = "POST", path, key, body, deadlineMs = 3_000, headers = {}, whole = false }) {
         const id = crypto.randomBytes(8).toString("hex");
         const sentAt = performance.now();
         return new Promise((resolve) => {
@@ -36,7 +36,7 @@
                         status: response.statusCode,
                         signed: response.headers["x-citronlead-server-seal"] !== undefined,
                         answeredId: response.headers["x-citronlead-request-id"],
-                        text: Buffer.concat(chunks).toString().slice(0, 200),
+                        text: Buffer.concat(chunks).toString().slice(0, whole ? undefined : 200),
                     };
                 });
             });
