--- a/review/lib-3/client.mjs
+++ b/review/lib-3/client.mjs
@@ -16,9 +16,13 @@
             let result = { id, outcome: "closed without an answer" };
             let timer;
             const request = http.request({
-                host: "127.0.0.1", port: this.port, method, path, agent: this.agent,
+                host: "127.0.0.1",
+                port: this.port,
+                method,
+                path,
+                agent: this.agent,
                 headers: {
-                    Host: this.hostName,
+                    "Host": this.hostName,
                     "X-Citronlead-Request-Id": id,
                     "X-Citronlead-Deadline-Ms": String(deadlineMs),
                     ...(key ? { "X-Api-Key": key } : {}),
@@ -44,7 +48,12 @@
             request.on("close", () => {
                 clearTimeout(timer);
                 setImmediate(() =>
-                    resolve({ ...result, reused: request.reusedSocket, sentAt, tookMs: Math.round(performance.now() - sentAt) })
+                    resolve({
+                        ...result,
+                        reused: request.reusedSocket,
+                        sentAt,
+                        tookMs: Math.round(performance.now() - sentAt),
+                    })
                 );
             });
             timer = setTimeout(() => {
--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -34,17 +34,20 @@
 
     beats = 0;
     beat() {
-        this.store.put(`servers/${this.id}`, JSON.stringify({
-            service: this.service,
-            address: this.address,
-            zone: "zone-a",
-            version: "v1",
-            slots: 64,
-            state: "ready",
-            cold_left_ms: 0,
-            seq_no: ++this.beats,
-            born: this.born,
-        }));
+        this.store.put(
+            `servers/${this.id}`,
+            JSON.stringify({
+                service: this.service,
+                address: this.address,
+                zone: "zone-a",
+                version: "v1",
+                slots: 64,
+                state: "ready",
+                cold_left_ms: 0,
+                seq_no: ++this.beats,
+                born: this.born,
+            }),
+        );
     }
 
     async handle(request, response) {
